--- /dev/null
+++ b/include/fulmarledge/ports.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fulmarledge/types.h"
+#include "fulmarledge_types.h"
+
+namespace fulmarledge {
+
+/// Result of a call to the platform's object API.
+enum class StoreStatus : std::uint8_t {
+    Ok,
+    NotFound,
+    Conflict, ///< the object exists, or its version differs from the expected one
+    Expired, ///< the watch's history is gone: read the object again
+    Throttled, ///< retry after `retryAfterMs`
+    Unavailable, ///< certain: the call had no effect
+    UnknownOutcome, ///< a write may or may not have taken effect
+    Invalid, ///< the platform refused the call itself
+    Unchanged, ///< a watch ended without a change
+};
+
+/// Name of a status in lower case with hyphens.
+std::string_view storeStatusName(StoreStatus status);
+
+/// Object of the platform. `version` is the platform's own, used for conditional updates.
+struct StoreObject {
+    std::string kind;
+    std::string name;
+    std::int64_t version = 0;
+    std::string value;
+};
+
+struct StoreReply {
+    StoreStatus status = StoreStatus::Unavailable;
+    std::vector<StoreObject> objects; ///< one for get, create, update and watch; any number for list
+    std::int64_t retryAfterMs = 0;
+    std::string reason;
+};
+
+using StoreCallback = std::function<void(const StoreReply &)>;
+
+/// The platform's object API. Calls return at once; the callback runs on the caller's control thread.
+class PlatformStore
+{
+public:
+    virtual ~PlatformStore() = default;
+
+    virtual void get(std::string_view kind, std::string_view name, StoreCallback callback) = 0;
+    virtual void list(std::string_view kind, StoreCallback callback) = 0;
+    virtual void create(std::string_view kind, std::string_view name, std::string_view value, StoreCallback callback)
+        = 0;
+    /// Replaces the value if the object's version equals `expectedVersion`.
+    virtual void update(std::string_view kind, std::string_view name, std::int64_t expectedVersion,
+                        std::string_view value, StoreCallback callback)
+        = 0;
+    virtual void remove(std::string_view kind, std::string_view name, std::int64_t expectedVersion,
+                        StoreCallback callback)
+        = 0;
+    /// Waits up to `timeoutMs` for a version above `fromVersion`.
+    virtual void watch(std::string_view kind, std::string_view name, std::int64_t fromVersion, std::int64_t timeoutMs,
+                       StoreCallback callback)
+        = 0;
+};
+
+/// Sends control messages to other nodes. Delivery is not guaranteed, and messages may be doubled or reordered.
+class PeerTransport
+{
+public:
+    virtual ~PeerTransport() = default;
+    virtual void send(const SocketAddress &to, const wire::Envelope &message) = 0;
+};
+
+class RandomSource
+{
+public:
+    virtual ~RandomSource() = default;
+    /// Uniform in [0, bound). `bound` must be above 0.
+    virtual std::uint64_t below(std::uint64_t bound) = 0;
+};
+
+/// Counters of the control plane, by name and one label value.
+class MetricsSink
+{
+public:
+    virtual ~MetricsSink() = default;
+    virtual void count(std::string_view name, std::string_view label, double amount) = 0;
+    virtual void gauge(std::string_view name, std::string_view label, double value) = 0;
+    virtual void observe(std::string_view name, double value) = 0;
+};
+
+/// One line per change of state.
+class EventLog
+{
+public:
+    virtual ~EventLog() = default;
+    /// `event` is a stable name; `detail` is free text.
+    virtual void event(std::string_view event, std::string_view detail) = 0;
+};
+
+} // namespace fulmarledge
--- /dev/null
+++ b/include/fulmarledge/verdict.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace fulmarledge {
+
+/// Whether a request may have run on a backend server.
+enum class Verdict : std::uint8_t {
+    NotRun = 1, ///< certain: no byte reached a backend server, or it was refused before dispatch
+    MayHaveRun = 2, ///< sent, and the outcome is unknown
+    Answered = 3, ///< a whole response of the backend server is at hand
+};
+
+/// Why a request was refused, retried or failed. Each has a counter.
+enum class Reason : std::uint8_t {
+    None = 0,
+    NoRoute,
+    NotReady,
+    StaleNode,
+    NoBackend,
+    ConnectFailed,
+    ConnectionLost,
+    Truncated,
+    DeadlineExceeded,
+    QueueFull,
+    DeadlineUnreachable,
+    Draining,
+    WrongHost,
+    ShedLoad,
+    BudgetExhausted,
+    AttemptsExhausted,
+    DuplicateInProgress,
+    OutcomeUnknown,
+    KeyTableFull,
+    BodyTooLarge,
+    BadHeader,
+    CallerGone,
+    DepthExceeded,
+    Count
+};
+
+/// Header value of a verdict: "not-run", "may-have-run" or "answered".
+std::string_view verdictName(Verdict verdict);
+
+/// Stable name of a reason, in lower case with hyphens.
+std::string_view reasonName(Reason reason);
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/ports.cpp
@@ -0,0 +1,30 @@
+#include "fulmarledge/ports.h"
+
+namespace fulmarledge {
+
+std::string_view storeStatusName(StoreStatus status)
+{
+    switch (status) {
+    case StoreStatus::Ok:
+        return "ok";
+    case StoreStatus::NotFound:
+        return "not-found";
+    case StoreStatus::Conflict:
+        return "conflict";
+    case StoreStatus::Expired:
+        return "expired";
+    case StoreStatus::Throttled:
+        return "throttled";
+    case StoreStatus::Unavailable:
+        return "unavailable";
+    case StoreStatus::UnknownOutcome:
+        return "unknown-outcome";
+    case StoreStatus::Invalid:
+        return "invalid";
+    case StoreStatus::Unchanged:
+        return "unchanged";
+    }
+    return "unknown";
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/thrift/fulmarledge.thrift
@@ -0,0 +1,124 @@
+// Messages between fulmarledge processes, encoded in Thrift's compact protocol.
+namespace cpp fulmarledge.wire
+
+enum HostState { Starting = 1, Serving = 2, Draining = 3, Left = 4 }
+enum Liveness { Alive = 1, Suspect = 2, Dead = 3 }
+
+// One host of the fleet and the backend server on it. Only the host itself raises its incarnation.
+struct HostRecord {
+  1: string host
+  2: string zone
+  3: string serviceName
+  4: string address
+  5: i32 controlPort
+  6: i32 hopPort
+  7: i32 callerPort
+  8: i32 adminPort
+  9: i64 incarnation
+  10: HostState state
+  11: Liveness liveness
+  12: i32 slots
+}
+
+// Sender of a message. Each message also advertises the manifest version that the sender runs.
+struct Header {
+  1: string host
+  2: string zone
+  3: i64 incarnation
+  4: i64 version
+  5: string address
+  6: i32 controlPort
+}
+
+struct Ping { 1: i64 sequence, 2: string target }
+struct PingReq { 1: i64 sequence, 2: string target }
+struct Ack { 1: i64 sequence, 2: string subject }
+
+struct Digest { 1: i64 version, 2: i64 tableHash, 3: bool reply }
+
+// Difference between two numbered versions. Services and routes are canonical JSON texts.
+struct ManifestDelta {
+  1: i64 fromVersion
+  2: list<string> services
+  3: list<string> removedServices
+  4: list<string> routes
+  5: list<string> removedRoutes
+}
+
+// A version as a delta, or in full when `delta` is not set.
+struct Content {
+  1: i64 version
+  2: string digest
+  3: optional ManifestDelta delta
+  4: optional binary full
+}
+
+// The receiver relays to the members whose hash is in [intervalBegin, intervalEnd], both unsigned.
+struct Push { 1: Content content, 2: i64 intervalBegin, 3: i64 intervalEnd }
+struct PushAck { 1: i64 version }
+struct Pull { 1: i64 haveVersion, 2: bool full }
+
+struct Bucket { 1: i32 index, 2: i64 hash }
+struct TableRequest { 1: list<Bucket> buckets }
+struct TableReply { 1: list<i32> buckets, 2: list<HostRecord> records }
+
+struct Join { 1: i64 sequence }
+struct JoinReply { 1: i64 sequence, 2: i32 retryAfterMs, 3: list<HostRecord> records }
+
+// Exactly one of the optional messages is set, or none when only records are carried.
+struct Envelope {
+  1: Header header
+  2: optional Ping ping
+  3: optional PingReq pingReq
+  4: optional Ack ack
+  5: optional Digest digest
+  6: optional Push push
+  7: optional PushAck pushAck
+  8: optional Pull pull
+  9: optional Content content
+  10: optional TableRequest tableRequest
+  11: optional TableReply tableReply
+  12: optional Join join
+  13: optional JoinReply joinReply
+  20: list<HostRecord> updates
+}
+
+enum Verdict { NotRun = 1, MayHaveRun = 2, Answered = 3 }
+
+struct HttpField { 1: string name, 2: string value }
+
+struct HopRequest {
+  1: i64 id
+  2: string serviceName
+  3: string method
+  4: string target
+  5: list<HttpField> fields
+  6: binary body
+  7: i32 deadlineMs
+  8: string requestId
+  9: string idempotencyKey
+  10: string caller
+  11: bool bulk
+  12: i64 version
+}
+
+struct HopResponse {
+  1: i64 id
+  2: Verdict verdict
+  3: i32 reason
+  4: i32 status
+  5: list<HttpField> fields
+  6: binary body
+  7: i32 outstanding
+  8: i32 retryAfterMs
+}
+
+struct HopCancel { 1: i64 id }
+struct HopBeat { 1: i64 sequence, 2: i32 outstanding, 3: HostState state }
+
+struct HopFrame {
+  1: optional HopRequest request
+  2: optional HopResponse response
+  3: optional HopCancel cancel
+  4: optional HopBeat beat
+}
