--- a/src/adapters/httpserver.cpp
+++ b/src/adapters/httpserver.cpp
@@ -80,16 +80,16 @@
     void send(int status, const HttpFields &fields, std::string body) override
     {
         std::vector<std::shared_ptr<NamedHeader>> headers;
-        for (const auto &[name, value] : fields) {
-            if (isConnectionField(name)) {
+        for (const auto &field : fields) {
+            if (isConnectionField(field.first)) {
                 continue;
             }
-            const auto known = std::find_if(headers.begin(), headers.end(),
-                                            [&](const auto &header) { return equalNames(header->name(), name); });
+            const auto isSame = [&](const auto &header) { return equalNames(header->name(), field.first); };
+            const auto known = std::find_if(headers.begin(), headers.end(), isSame);
             if (known != headers.end()) {
-                (*known)->add(value);
+                (*known)->add(field.second);
             } else {
-                headers.push_back(std::make_shared<NamedHeader>(name, value));
+                headers.push_back(std::make_shared<NamedHeader>(field.first, field.second));
             }
         }
         for (const auto &header : headers) {
