--- /dev/null
+++ b/src/adapters/peersocket.cpp
@@ -0,0 +1,175 @@
+#include "peersocket.h"
+
+#include <array>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include "fulmarledge/config.h"
+#include "wirecodec.h"
+
+namespace fulmarledge {
+
+namespace {
+
+/// Connections for large messages are few, because only joins, table repairs and full manifests need them.
+constexpr std::size_t kMaxIncoming = 256;
+constexpr std::size_t kMaxOutgoing = 64;
+constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
+constexpr std::int64_t kIdleMs = 5000;
+constexpr std::size_t kDatagramBufferBytes = 64 * 1024;
+/// A bound on one round keeps ticks on time during a burst.
+constexpr int kDatagramsPerRound = 256;
+
+} // namespace
+
+std::string_view messageName(const wire::Envelope &message)
+{
+    const auto &set = message.__isset;
+    const std::pair<bool, std::string_view> names[] = {
+        {set.ping, "ping"},
+        {set.pingReq, "ping-req"},
+        {set.ack, "ack"},
+        {set.digest, "digest"},
+        {set.push, "push"},
+        {set.pushAck, "push-ack"},
+        {set.pull, "pull"},
+        {set.content, "content"},
+        {set.tableRequest, "table-request"},
+        {set.tableReply, "table-reply"},
+        {set.join, "join"},
+        {set.joinReply, "join-reply"},
+    };
+    for (const auto &[present, name] : names) {
+        if (present) {
+            return name;
+        }
+    }
+    return "update";
+}
+
+PeerSocket::PeerSocket(IoLoop &loop, MetricsSink &metrics)
+    : m_loop(loop)
+    , m_metrics(metrics)
+{
+}
+
+PeerSocket::~PeerSocket()
+{
+    if (m_udp.isOpen()) {
+        m_loop.removeFd(m_udp.fd());
+    }
+    if (m_listener.isOpen()) {
+        m_loop.removeFd(m_listener.fd());
+    }
+}
+
+bool PeerSocket::start(const SocketAddress &address, Handler handler, LastReason &error)
+{
+    m_handler = std::move(handler);
+    auto udp = bindUdp(address, error);
+    if (!udp) {
+        return false;
+    }
+    auto listener = listenTcp(address, error);
+    if (!listener) {
+        return false;
+    }
+    m_udp = std::move(*udp);
+    m_listener = std::move(*listener);
+    m_loop.addFd(m_udp.fd(), EPOLLIN, [this](std::uint32_t) { onDatagram(); });
+    m_loop.addFd(m_listener.fd(), EPOLLIN, [this](std::uint32_t) { onAccept(); });
+    return true;
+}
+
+void PeerSocket::send(const SocketAddress &to, const wire::Envelope &message)
+{
+    const std::string payload = encodeMessage(message);
+    m_metrics.count("control-bytes-out", messageName(message), static_cast<double>(payload.size()));
+    m_metrics.count("control-messages-out", messageName(message), 1);
+    if (payload.size() > FULMARLEDGE_CONFIG_MAX_DATAGRAM_BYTES) {
+        sendFrame(to, payload);
+        return;
+    }
+    const auto target = toSockaddr(to);
+    if (target) {
+        // A lost datagram is repaired by the protocol, so a full send buffer is not an error.
+        ::sendto(m_udp.fd(), payload.data(), payload.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr *>(&*target),
+                 sizeof(*target));
+    }
+}
+
+void PeerSocket::sendFrame(const SocketAddress &to, std::string_view payload)
+{
+    auto found = m_outgoing.find(to);
+    if (found == m_outgoing.end()) {
+        LastReason error;
+        auto socket = m_outgoing.size() < kMaxOutgoing ? connectTcp(to, error) : std::nullopt;
+        if (!socket) {
+            m_metrics.count("control-frames-dropped", "connections", 1);
+            return;
+        }
+        auto stream = std::make_unique<FrameStream>(m_loop, std::move(*socket), FULMARLEDGE_CONFIG_MAX_FRAME_BYTES);
+        found = m_outgoing.emplace(to, Outgoing{std::move(stream), {}}).first;
+        found->second.stream->start([](std::span<const std::uint8_t>) {}, [this, to] { dropOutgoing(to); });
+    }
+    if (found->second.stream->unsentBytes() + payload.size() > kMaxUnsentBytes) {
+        m_metrics.count("control-frames-dropped", "unsent-bytes", 1);
+        return;
+    }
+    found->second.stream->send(payload);
+    // A connection whose peer is silent or gone is closed by the same timer.
+    m_loop.cancel(found->second.idleTimer);
+    found->second.idleTimer = m_loop.runAfter(kIdleMs, [this, to] { dropOutgoing(to); });
+}
+
+void PeerSocket::dropOutgoing(const SocketAddress &to)
+{
+    const auto found = m_outgoing.find(to);
+    if (found != m_outgoing.end()) {
+        m_loop.cancel(found->second.idleTimer);
+        m_outgoing.erase(found);
+    }
+}
+
+void PeerSocket::onDatagram()
+{
+    std::array<std::uint8_t, kDatagramBufferBytes> buffer;
+    for (int i = 0; i < kDatagramsPerRound; ++i) {
+        const ssize_t got = ::recv(m_udp.fd(), buffer.data(), buffer.size(), 0);
+        if (got < 0) {
+            return;
+        }
+        receive(std::span(buffer.data(), static_cast<std::size_t>(got)));
+    }
+}
+
+void PeerSocket::onAccept()
+{
+    while (auto socket = acceptTcp(m_listener)) {
+        if (m_incoming.size() >= kMaxIncoming) {
+            m_metrics.count("control-connections-refused", "", 1);
+            continue;
+        }
+        const std::uint64_t id = m_nextIncoming++;
+        auto stream = std::make_unique<FrameStream>(m_loop, std::move(*socket), FULMARLEDGE_CONFIG_MAX_FRAME_BYTES);
+        FrameStream &started = *stream;
+        m_incoming.emplace(id, std::move(stream));
+        started.start([this](std::span<const std::uint8_t> frame) { receive(frame); },
+                      [this, id] { m_incoming.erase(id); });
+    }
+}
+
+void PeerSocket::receive(std::span<const std::uint8_t> data)
+{
+    LastReason error;
+    const auto message = decodeMessage<wire::Envelope>(data, error);
+    if (!message) {
+        m_metrics.count("control-messages-malformed", "", 1);
+        return;
+    }
+    m_metrics.count("control-bytes-in", messageName(*message), static_cast<double>(data.size()));
+    m_metrics.count("control-messages-in", messageName(*message), 1);
+    m_handler(*message);
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/adapters/socket.cpp
@@ -0,0 +1,168 @@
+#include "socket.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+/// Room for a burst of control datagrams while the control thread is busy.
+constexpr int kUdpReceiveBytes = 1024 * 1024;
+
+std::optional<Socket> failed(LastReason &error, std::string_view what)
+{
+    error.set(std::string(what) + ": " + std::strerror(errno));
+    return std::nullopt;
+}
+
+void enable(int fd, int level, int option)
+{
+    const int one = 1;
+    setsockopt(fd, level, option, &one, sizeof(one));
+}
+
+std::optional<Socket> bindSocket(const SocketAddress &address, int type, LastReason &error)
+{
+    const auto target = toSockaddr(address);
+    if (!target) {
+        error.set("\"" + address.ip + "\" is not an IPv4 address");
+        return std::nullopt;
+    }
+    Socket socket(::socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket.isOpen()) {
+        return failed(error, "socket");
+    }
+    enable(socket.fd(), SOL_SOCKET, SO_REUSEADDR);
+    if (::bind(socket.fd(), reinterpret_cast<const sockaddr *>(&*target), sizeof(*target)) != 0) {
+        return failed(error, "bind " + address.ip + ":" + std::to_string(address.port));
+    }
+    return socket;
+}
+
+} // namespace
+
+Socket::~Socket()
+{
+    close();
+}
+
+Socket::Socket(Socket &&other) noexcept
+    : m_fd(std::exchange(other.m_fd, -1))
+{
+}
+
+Socket &Socket::operator=(Socket &&other) noexcept
+{
+    if (this != &other) {
+        close();
+        m_fd = std::exchange(other.m_fd, -1);
+    }
+    return *this;
+}
+
+void Socket::close()
+{
+    if (m_fd >= 0) {
+        ::close(m_fd);
+        m_fd = -1;
+    }
+}
+
+std::optional<sockaddr_in> toSockaddr(const SocketAddress &address)
+{
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(address.port);
+    if (inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr) != 1) {
+        return std::nullopt;
+    }
+    return result;
+}
+
+SocketAddress fromSockaddr(const sockaddr_in &address)
+{
+    char text[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &address.sin_addr, text, sizeof(text));
+    return {text, ntohs(address.sin_port)};
+}
+
+std::optional<SocketAddress> parseSocketAddress(std::string_view text, LastReason &error)
+{
+    const std::size_t colon = text.rfind(':');
+    SocketAddress address;
+    if (colon != std::string_view::npos) {
+        address.ip = text.substr(0, colon);
+        const std::string_view port = text.substr(colon + 1);
+        const auto [end, code] = std::from_chars(port.data(), port.data() + port.size(), address.port);
+        if (code == std::errc{} && end == port.data() + port.size() && address.port != 0 && toSockaddr(address)) {
+            return address;
+        }
+    }
+    error.set("\"" + std::string(text) + "\" is not IP:PORT with an IPv4 address and a port from 1 to 65535");
+    return std::nullopt;
+}
+
+std::optional<Socket> bindUdp(const SocketAddress &address, LastReason &error)
+{
+    auto socket = bindSocket(address, SOCK_DGRAM, error);
+    if (socket) {
+        setsockopt(socket->fd(), SOL_SOCKET, SO_RCVBUF, &kUdpReceiveBytes, sizeof(kUdpReceiveBytes));
+    }
+    return socket;
+}
+
+std::optional<Socket> listenTcp(const SocketAddress &address, LastReason &error)
+{
+    auto socket = bindSocket(address, SOCK_STREAM, error);
+    if (socket && ::listen(socket->fd(), kBacklog) != 0) {
+        return failed(error, "listen");
+    }
+    return socket;
+}
+
+std::optional<Socket> connectTcp(const SocketAddress &address, LastReason &error)
+{
+    const auto target = toSockaddr(address);
+    if (!target) {
+        error.set("\"" + address.ip + "\" is not an IPv4 address");
+        return std::nullopt;
+    }
+    Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket.isOpen()) {
+        return failed(error, "socket");
+    }
+    enable(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
+    if (::connect(socket.fd(), reinterpret_cast<const sockaddr *>(&*target), sizeof(*target)) != 0
+        && errno != EINPROGRESS) {
+        return failed(error, "connect");
+    }
+    return socket;
+}
+
+std::optional<Socket> acceptTcp(const Socket &listener)
+{
+    Socket socket(::accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!socket.isOpen()) {
+        return std::nullopt;
+    }
+    enable(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
+    return socket;
+}
+
+int pendingError(const Socket &socket)
+{
+    int code = 0;
+    socklen_t length = sizeof(code);
+    getsockopt(socket.fd(), SOL_SOCKET, SO_ERROR, &code, &length);
+    return code;
+}
+
+} // namespace fulmarledge
