--- /dev/null
+++ b/src/adapters/settings.cpp
@@ -0,0 +1,288 @@
+#include "settings.h"
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "socket.h"
+
+namespace fulmarledge {
+
+namespace {
+
+namespace po = boost::program_options;
+
+std::optional<std::int64_t> parseInteger(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (code != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+struct Unit {
+    std::string_view name;
+    std::int64_t factor;
+};
+
+/// Parses a whole number followed by one of `units`.
+bool parseWithUnit(std::string_view text, std::span<const Unit> units, std::int64_t min, std::int64_t max,
+                   std::int64_t &out, LastReason &error)
+{
+    const std::size_t digits = std::min(text.find_first_not_of("0123456789"), text.size());
+    const auto number = parseInteger(text.substr(0, digits));
+    std::string_view suffix = text.substr(digits);
+    while (!suffix.empty() && suffix.front() == ' ') {
+        suffix.remove_prefix(1);
+    }
+    std::string names;
+    for (const Unit &unit : units) {
+        names += (names.empty() ? "" : ", ");
+        names += unit.name;
+        if (!number || suffix != unit.name) {
+            continue;
+        }
+        if (*number > max / unit.factor || *number * unit.factor < min) {
+            error.set("\"" + std::string(text) + "\" is out of range: from " + std::to_string(min)
+                      + std::string(units.front().name) + " to " + std::to_string(max)
+                      + std::string(units.front().name));
+            return false;
+        }
+        out = *number * unit.factor;
+        return true;
+    }
+    error.set("\"" + std::string(text) + "\" is not a whole number with a unit of " + names);
+    return false;
+}
+
+constexpr Unit kDurationUnits[] = {{"ms", 1}, {"s", 1000}, {"min", 60000}};
+constexpr Unit kByteUnits[] = {{"B", 1}, {"KiB", 1024}, {"MiB", 1024 * 1024}};
+
+} // namespace
+
+SettingsSchema::SettingsSchema(std::string program)
+    : m_program(std::move(program))
+{
+}
+
+void SettingsSchema::add(std::string key, std::string description, std::optional<std::string> defaultText,
+                         Parser parser)
+{
+    m_settings.push_back({std::move(key), std::move(description), std::move(defaultText), std::move(parser)});
+}
+
+void SettingsSchema::addText(std::string key, std::string description, std::optional<std::string> defaultText,
+                             std::string &out)
+{
+    add(std::move(key), std::move(description), std::move(defaultText), [&out](std::string_view text, LastReason &) {
+        out = text;
+        return true;
+    });
+}
+
+void SettingsSchema::addName(std::string key, std::string description, std::optional<std::string> defaultText,
+                             std::string &out)
+{
+    add(std::move(key), std::move(description), std::move(defaultText),
+        [&out](std::string_view text, LastReason &error) {
+            const auto allowed = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-'; };
+            if (text.empty() || text.size() > 63 || !std::all_of(text.begin(), text.end(), allowed)) {
+                error.set("\"" + std::string(text) + "\" is not a name of 1 to 63 characters of a-z, 0-9 and \"-\"");
+                return false;
+            }
+            out = text;
+            return true;
+        });
+}
+
+void SettingsSchema::addIp(std::string key, std::string description, std::optional<std::string> defaultText,
+                           std::string &out)
+{
+    add(std::move(key), std::move(description), std::move(defaultText),
+        [&out](std::string_view text, LastReason &error) {
+            if (!toSockaddr({std::string(text), 0})) {
+                error.set("\"" + std::string(text) + "\" is not an IPv4 address in numbers");
+                return false;
+            }
+            out = text;
+            return true;
+        });
+}
+
+void SettingsSchema::addPort(std::string key, std::string description, std::optional<std::string> defaultText,
+                             std::uint16_t &out)
+{
+    add(std::move(key), std::move(description), std::move(defaultText),
+        [&out](std::string_view text, LastReason &error) {
+            const auto number = parseInteger(text);
+            if (!number || *number < 1 || *number > 65535) {
+                error.set("\"" + std::string(text) + "\" is not a port from 1 to 65535");
+                return false;
+            }
+            out = static_cast<std::uint16_t>(*number);
+            return true;
+        });
+}
+
+void SettingsSchema::addAddress(std::string key, std::string description, std::optional<std::string> defaultText,
+                                SocketAddress &out)
+{
+    add(std::move(key), std::move(description), std::move(defaultText),
+        [&out](std::string_view text, LastReason &error) {
+            const auto address = parseSocketAddress(text, error);
+            if (address) {
+                out = *address;
+            }
+            return address.has_value();
+        });
+}
+
+void SettingsSchema::addInteger(std::string key, std::string description, std::string defaultText, std::int64_t min,
+                                std::int64_t max, int &out)
+{
+    add(std::move(key), std::move(description), std::move(defaultText),
+        [min, max, &out](std::string_view text, LastReason &error) {
+            const auto number = parseInteger(text);
+            if (!number || *number < min || *number > max) {
+                error.set("\"" + std::string(text) + "\" is not a whole number from " + std::to_string(min) + " to "
+                          + std::to_string(max));
+                return false;
+            }
+            out = static_cast<int>(*number);
+            return true;
+        });
+}
+
+void SettingsSchema::addDuration(std::string key, std::string description, std::string defaultText, TimeMs min,
+                                 TimeMs max, TimeMs &out)
+{
+    add(std::move(key), std::move(description), std::move(defaultText),
+        [min, max, &out](std::string_view text, LastReason &error) {
+            return parseWithUnit(text, kDurationUnits, min, max, out, error);
+        });
+}
+
+void SettingsSchema::addBytes(std::string key, std::string description, std::string defaultText, std::size_t min,
+                              std::size_t max, std::size_t &out)
+{
+    add(std::move(key), std::move(description), std::move(defaultText),
+        [min, max, &out](std::string_view text, LastReason &error) {
+            std::int64_t value = 0;
+            const bool good = parseWithUnit(text, kByteUnits, static_cast<std::int64_t>(min),
+                                            static_cast<std::int64_t>(max), value, error);
+            if (good) {
+                out = static_cast<std::size_t>(value);
+            }
+            return good;
+        });
+}
+
+void SettingsSchema::addChoice(std::string key, std::string description, std::string defaultText,
+                               std::vector<std::string> choices, std::function<void(std::size_t)> choose)
+{
+    add(std::move(key), std::move(description), std::move(defaultText),
+        [choices = std::move(choices), choose = std::move(choose)](std::string_view text, LastReason &error) {
+            const auto found = std::find(choices.begin(), choices.end(), text);
+            if (found != choices.end()) {
+                choose(static_cast<std::size_t>(found - choices.begin()));
+                return true;
+            }
+            std::string all;
+            for (const std::string &choice : choices) {
+                all += (all.empty() ? "" : ", ") + choice;
+            }
+            error.set("\"" + std::string(text) + "\" is not one of " + all);
+            return false;
+        });
+}
+
+SettingsSchema::Outcome SettingsSchema::read(std::span<const char *const> arguments, LastReason &error) const
+{
+    po::options_description fileOptions;
+    for (const Setting &setting : m_settings) {
+        fileOptions.add_options()(setting.key.c_str(), po::value<std::string>(), setting.description.c_str());
+    }
+    po::options_description all;
+    all.add(fileOptions);
+    all.add_options()("config", po::value<std::string>())("check-settings", "")("help", "")("version", "");
+    po::variables_map fromLine;
+    po::variables_map fromFile;
+    std::string file;
+    std::string source = "command line";
+    try {
+        po::store(po::command_line_parser(static_cast<int>(arguments.size()), arguments.data())
+                      .options(all)
+                      .style(po::command_line_style::unix_style & ~po::command_line_style::allow_guessing)
+                      .run(),
+                  fromLine);
+        if (fromLine.count("help") > 0) {
+            return Outcome::Help;
+        }
+        if (fromLine.count("version") > 0) {
+            return Outcome::ShowVersion;
+        }
+        if (fromLine.count("config") > 0) {
+            file = fromLine["config"].as<std::string>();
+            source = file;
+            std::ifstream stream(file);
+            if (!stream) {
+                error.set(file + ": cannot be read");
+                return Outcome::Bad;
+            }
+            po::store(po::parse_config_file(stream, fileOptions), fromFile);
+        }
+    } catch (const po::unknown_option &exception) {
+        error.set(source + ": " + exception.get_option_name() + ": unknown key");
+        return Outcome::Bad;
+    } catch (const po::error &exception) {
+        error.set(source + ": " + exception.what());
+        return Outcome::Bad;
+    }
+    for (const Setting &setting : m_settings) {
+        std::string text;
+        std::string where = "default";
+        if (fromLine.count(setting.key) > 0) {
+            text = fromLine[setting.key].as<std::string>();
+            where = "command line";
+        } else if (fromFile.count(setting.key) > 0) {
+            text = fromFile[setting.key].as<std::string>();
+            where = file;
+        } else if (setting.defaultText) {
+            text = *setting.defaultText;
+        } else {
+            error.set((file.empty() ? "command line" : file) + ": " + setting.key + ": missing");
+            return Outcome::Bad;
+        }
+        LastReason reason;
+        if (!setting.parser(text, reason)) {
+            error.set(where + ": " + setting.key + ": " + reason.text());
+            return Outcome::Bad;
+        }
+    }
+    return fromLine.count("check-settings") > 0 ? Outcome::CheckOnly : Outcome::Run;
+}
+
+std::string SettingsSchema::help() const
+{
+    std::ostringstream text;
+    text << "Usage: " << m_program << " [--config FILE] [--SECTION.NAME VALUE ...]\n\n"
+         << "  --config FILE     INI file with the settings below\n"
+         << "  --check-settings  check the settings and exit\n"
+         << "  --help, --version\n\n";
+    for (const Setting &setting : m_settings) {
+        text << "  --" << setting.key << "\n      " << setting.description;
+        if (setting.defaultText) {
+            text << " (default " << (setting.defaultText->empty() ? "none" : *setting.defaultText) << ")";
+        } else {
+            text << " (required)";
+        }
+        text << "\n";
+    }
+    return text.str();
+}
+
+} // namespace fulmarledge
