--- a/include/fulmarledge/types.h
+++ b/include/fulmarledge/types.h
@@ -41,7 +41,7 @@
     std::uint16_t port = 0;
 
     bool operator==(const SocketAddress &) const = default;
-    auto operator<=>(const SocketAddress &) const = default;
+    auto operator<=>(const SocketAddress &) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads it
 };
 
 /// Reason of the last failure of a call that returned an empty optional.
