Add the membership core

The node needs one host table: who is in the fleet, in which state, and who answers. Membership keeps it without I/O: SWIM probing with suspicion and refutation, piggybacked records, repair by bucket hash, joining through contact records of the platform and refresh after a clock jump.

--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,323 @@
+#include "membership_p.h"
+
+#include <algorithm>
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr TimeMs kTickMs = 50;
+// A tick this late means that answers may wait unread in the input queue.
+constexpr TimeMs kLateTickMs = 150;
+constexpr TimeMs kMaxGraceMs = 1000;
+constexpr int kChallengesPerSecond = 20;
+constexpr std::size_t kJoinThroughMembers = 3;
+
+} // namespace
+
+bool RateLimit::take(TimeMs now)
+{
+    if (now - m_windowStart >= 1000) {
+        m_windowStart = now;
+        m_taken = 0;
+    }
+    return ++m_taken <= m_perSecond;
+}
+
+Membership::Private::Private(const MembershipSettings &config, const wire::HostRecord &self, PeerTransport &peers,
+                             PlatformStore &platform, RandomSource &source, MetricsSink &sink, EventLog &events)
+    : settings(config)
+    , transport(peers)
+    , store(platform)
+    , random(source)
+    , metrics(sink)
+    , log(events)
+    , table(self)
+    , bursts(config.gossipBurstsPerSecond)
+    , challenges(kChallengesPerSecond)
+    , tableReplies(config.tableRepliesPerSecond)
+    , joins(config.joinsPerSecond)
+{
+}
+
+void Membership::Private::start(std::int64_t wallClockMs)
+{
+    wire::HostRecord record = self();
+    record.incarnation = wallClockMs;
+    record.liveness = wire::Liveness::Alive;
+    table.set(record);
+    ++revision;
+    started = true;
+    lastTick = now;
+    // Sequence numbers start at a random place, so that an answer to an earlier process of this host does not fit.
+    sequence = static_cast<std::int64_t>(random.below(std::uint64_t{1} << 40U));
+    nextProbeAt = now + static_cast<TimeMs>(random.below(static_cast<std::uint64_t>(settings.probePeriodMs)));
+    nextSuccessorAt = nextProbeAt + settings.probePeriodMs / 2;
+    nextTombstoneAt = now + jitter(settings.tombstoneProbeMs);
+    const TimeMs spread = settings.plannedMembers * 1000 / settings.contactReadsPerSecond;
+    contacts.nextReadAt = now + static_cast<TimeMs>(random.below(static_cast<std::uint64_t>(spread) + 1));
+}
+
+void Membership::Private::tick()
+{
+    const TimeMs gap = now - lastTick;
+    lastTick = now;
+    if (gap > settings.clockJumpMs) {
+        clockJump();
+    } else if (gap > kLateTickMs) {
+        graceUntil = now + std::min(gap - kTickMs, kMaxGraceMs);
+    }
+    if (now >= graceUntil) {
+        expireSuspicions();
+        expireProbes();
+    }
+    pruneTombstones();
+    probeTick();
+    probeTombstones();
+    contactTick();
+    syncTick();
+    burstTick();
+}
+
+void Membership::Private::receive(const wire::Envelope &message)
+{
+    if (message.header.host == self().host) {
+        return;
+    }
+    ++heard;
+    const std::uint32_t sender = table.find(message.header.host);
+    const bool trusted = sender != kNoSlot && isLive(table.record(sender));
+    for (const wire::HostRecord &record : message.updates) {
+        merge(record, trusted ? RecordSource::Gossip : RecordSource::Table);
+    }
+    applyHeader(message.header, message.__isset.join || message.__isset.joinReply);
+    if (message.__isset.ping) {
+        onPing(message);
+    } else if (message.__isset.pingReq) {
+        onPingReq(message);
+    } else if (message.__isset.ack) {
+        onAck(message);
+    } else if (message.__isset.digest) {
+        onDigest(message);
+    } else if (message.__isset.tableRequest) {
+        onTableRequest(message);
+    } else if (message.__isset.tableReply) {
+        onTableReply(message);
+    } else if (message.__isset.join) {
+        onJoin(message);
+    } else if (message.__isset.joinReply) {
+        onJoinReply(message);
+    }
+}
+
+void Membership::Private::applyHeader(const wire::Header &header, bool introduces)
+{
+    const SocketAddress address{header.address, static_cast<std::uint16_t>(header.controlPort)};
+    const std::uint32_t slot = table.find(header.host);
+    if (slot == kNoSlot) {
+        // The ping carries the own record, and its answer brings the sender's.
+        if (!introduces && !header.host.empty() && challenges.take(now)) {
+            wire::Envelope ping;
+            ping.__isset.ping = true;
+            ping.ping.sequence = ++sequence;
+            ping.ping.target = header.host;
+            ping.updates.push_back(self());
+            transport.send(address, ping);
+        }
+        return;
+    }
+    HostEntry &entry = table.entry(slot);
+    const wire::HostRecord &record = table.record(slot);
+    if (header.incarnation >= entry.headerIncarnation) {
+        if (Member *member = table.member(slot); member != nullptr) {
+            const bool sameProcess = header.incarnation == entry.headerIncarnation;
+            member->version = sameProcess ? std::max(member->version, header.version) : header.version;
+            member->versionSeenMs = now;
+        }
+        entry.headerIncarnation = header.incarnation;
+    }
+    if (record.liveness != wire::Liveness::Alive && header.incarnation <= record.incarnation) {
+        challenge(slot, address);
+    }
+}
+
+void Membership::Private::setOwn(wire::HostRecord record)
+{
+    record.incarnation = self().incarnation + 1;
+    record.liveness = wire::Liveness::Alive;
+    const bool routing = contentHash(record) != contentHash(self());
+    table.set(record);
+    revision += routing ? 1 : 0;
+    announce(0);
+}
+
+void Membership::Private::clockJump()
+{
+    log.event("clock-jump", "the host table is refreshed");
+    metrics.count("membership_clock_jumps", "", 1);
+    // Nothing held during the pause is authoritative: no timeout is judged, and no old record is passed on.
+    probes.clear();
+    relays.clear();
+    updates.clear();
+    contacts.attempts.clear();
+    contacts.candidates.clear();
+    contacts.roundOpen = false;
+    burstWanted = false;
+    suspicions = {};
+    for (const std::uint32_t slot : table.live()) {
+        if (table.record(slot).liveness == wire::Liveness::Suspect) {
+            HostEntry &entry = table.entry(slot);
+            entry.deadline = now + suspicionTime(table.record(slot));
+            suspicions.push({entry.deadline, entry.hash});
+        }
+    }
+    stale = !isAlone();
+    syncing = stale;
+    differsSince = 0;
+    joinKnownMembers();
+    planRead(false, 0);
+}
+
+void Membership::Private::joinKnownMembers()
+{
+    for (std::size_t i = 0; i < std::min(kJoinThroughMembers, table.live().size()); ++i) {
+        const wire::HostRecord &record = table.record(table.nextProbe(random));
+        sendJoin({}, record.host, controlAddress(record));
+    }
+}
+
+void Membership::Private::countAndLog(std::string_view metric, std::string_view event, const std::string &host)
+{
+    metrics.count(metric, "", 1);
+    log.event(event, host);
+}
+
+Membership::Membership(const MembershipSettings &settings, const wire::HostRecord &self, PeerTransport &transport,
+                       PlatformStore &store, RandomSource &random, MetricsSink &metrics, EventLog &log)
+    : m_d(std::make_unique<Private>(settings, self, transport, store, random, metrics, log))
+{
+}
+
+Membership::~Membership() = default;
+
+void Membership::start(TimeMs now, std::int64_t wallClockMs)
+{
+    m_d->now = now;
+    m_d->start(wallClockMs);
+}
+
+void Membership::onTick(TimeMs now)
+{
+    m_d->now = now;
+    if (m_d->started) {
+        m_d->tick();
+    }
+}
+
+void Membership::onMessage(TimeMs now, const wire::Envelope &message)
+{
+    m_d->now = now;
+    if (m_d->started) {
+        m_d->receive(message);
+    }
+}
+
+void Membership::setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName,
+                               std::int32_t slots)
+{
+    m_d->now = now;
+    wire::HostRecord record = m_d->self();
+    if (record.state == state && record.serviceName == serviceName && record.slots == slots) {
+        return;
+    }
+    record.state = state;
+    record.serviceName = serviceName;
+    record.slots = slots;
+    if (!m_d->started) {
+        m_d->table.set(record);
+        return;
+    }
+    m_d->setOwn(std::move(record));
+    m_d->burst(m_d->settings.ownFanout);
+}
+
+void Membership::leave(TimeMs now)
+{
+    m_d->now = now;
+    if (!m_d->started) {
+        return;
+    }
+    wire::HostRecord record = m_d->self();
+    record.state = wire::HostState::Left;
+    m_d->setOwn(std::move(record));
+    m_d->burst(m_d->settings.ownFanout);
+    m_d->started = false;
+    m_d->log.event("left", m_d->self().host);
+}
+
+void Membership::onClockJump(TimeMs now)
+{
+    m_d->now = now;
+    m_d->lastTick = now;
+    if (m_d->started) {
+        m_d->clockJump();
+    }
+}
+
+void Membership::fillUpdates(wire::Envelope &message, std::size_t maxBytes)
+{
+    m_d->updates.fill(m_d->table, message, maxBytes);
+}
+
+std::uint64_t Membership::revision() const
+{
+    return m_d->revision;
+}
+
+std::span<const wire::HostRecord> Membership::records() const
+{
+    return m_d->table.records();
+}
+
+bool Membership::isJoined() const
+{
+    return m_d->joined;
+}
+
+bool Membership::isStale() const
+{
+    return m_d->stale;
+}
+
+std::span<const Member> Membership::zoneMembers(std::string_view zone) const
+{
+    return m_d->table.zoneMembers(zone);
+}
+
+std::span<const std::string> Membership::zones() const
+{
+    return m_d->table.zones();
+}
+
+const Member *Membership::find(std::string_view host) const
+{
+    const std::uint32_t slot = m_d->table.find(host);
+    return slot == kNoSlot ? nullptr : m_d->table.member(slot);
+}
+
+std::size_t Membership::liveCount() const
+{
+    return m_d->table.live().size() + 1;
+}
+
+std::uint64_t Membership::tableHash() const
+{
+    return m_d->table.tableHash();
+}
+
+const Member &Membership::self() const
+{
+    return *m_d->table.member(0);
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/merge.cpp
@@ -0,0 +1,175 @@
+#include <bit>
+
+#include "membership_p.h"
+
+namespace fulmarledge {
+
+namespace {
+
+// Bounds the work of one tick when a whole zone fails.
+constexpr int kMaxExpiredPerTick = 64;
+// Probes of tombstones caused by one member that came back. Above 1, so that a healed zone is found as a whole.
+constexpr int kProbesPerRevival = 4;
+constexpr int kMaxRevivalProbes = 64;
+
+bool isUrgent(const wire::HostRecord &record)
+{
+    return record.state == wire::HostState::Draining || record.state == wire::HostState::Left;
+}
+
+} // namespace
+
+void Membership::Private::merge(wire::HostRecord record, RecordSource source)
+{
+    if (!isValidRecord(record)) {
+        metrics.count("membership_records_refused", "invalid", 1);
+        return;
+    }
+    if (record.host == self().host) {
+        onOwnRecord(record);
+        return;
+    }
+    const std::uint32_t slot = table.find(memberHash(record.host));
+    if (slot == kNoSlot) {
+        // Tombstones are not taken from others, or they would travel from node to node for ever.
+        if (isLive(record) && table.records().size() < settings.maxMembers) {
+            apply(record);
+        }
+        return;
+    }
+    const wire::HostRecord &current = table.record(slot);
+    if (current.host != record.host) {
+        metrics.count("membership_records_refused", "hash-collision", 1);
+        return;
+    }
+    if (record.liveness == wire::Liveness::Dead && source == RecordSource::Table && isLive(current)
+        && record.state != wire::HostState::Left) {
+        // After a partition the other side's table declares everyone here dead. The suspicion gives each host the
+        // time to refute it and keeps it in the routing tables meanwhile.
+        record.liveness = wire::Liveness::Suspect;
+    }
+    if (supersedes(record, current)) {
+        apply(record);
+    }
+}
+
+void Membership::Private::apply(const wire::HostRecord &record)
+{
+    const std::uint32_t known = table.find(memberHash(record.host));
+    const bool wasLive = known != kNoSlot && isLive(table.record(known));
+    const bool wasDead = known != kNoSlot && table.record(known).liveness == wire::Liveness::Dead;
+    const bool changed
+        = known == kNoSlot || wasLive != isLive(record) || contentHash(table.record(known)) != contentHash(record);
+    const std::uint32_t slot = table.set(record);
+    HostEntry &entry = table.entry(slot);
+    revision += changed ? 1 : 0;
+    if (!isLive(record)) {
+        prunes.push({now + settings.tombstoneMs, entry.hash});
+        entry.deadline = now + settings.tombstoneMs;
+        if (wasLive) {
+            const bool left = record.state == wire::HostState::Left;
+            countAndLog(left ? "membership_left" : "membership_deaths", left ? "host-left" : "host-dead", record.host);
+        }
+    } else if (record.liveness == wire::Liveness::Suspect) {
+        metrics.count("membership_suspicions", "", 1);
+        entry.deadline = now + suspicionTime(record);
+        suspicions.push({entry.deadline, entry.hash});
+    } else if (wasDead) {
+        countAndLog("membership_revivals", "host-alive", record.host);
+        revivalProbes = std::min(revivalProbes + kProbesPerRevival, kMaxRevivalProbes);
+    }
+    metrics.gauge("membership_live_members", "", static_cast<double>(table.live().size() + 1));
+    announce(slot);
+}
+
+void Membership::Private::onOwnRecord(const wire::HostRecord &record)
+{
+    const wire::HostRecord &own = self();
+    const bool same = record.incarnation == own.incarnation && record.liveness == wire::Liveness::Alive
+        && contentHash(record) == contentHash(own);
+    if (!started || record.incarnation < own.incarnation || same) {
+        return;
+    }
+    if (record.liveness != wire::Liveness::Alive) {
+        metrics.count("membership_refutations", "", 1);
+        changeHealth(1);
+    }
+    wire::HostRecord raised = own;
+    raised.incarnation = record.incarnation + 1;
+    table.set(raised);
+    announce(0);
+}
+
+void Membership::Private::setLiveness(std::uint32_t slot, wire::Liveness::type liveness)
+{
+    wire::HostRecord record = table.record(slot);
+    record.liveness = liveness;
+    apply(record);
+}
+
+void Membership::Private::announce(std::uint32_t slot)
+{
+    const bool urgent = isUrgent(table.record(slot)) && table.record(slot).liveness == wire::Liveness::Alive;
+    updates.push(table, slot, urgent);
+    burstWanted = true;
+    urgentWanted = urgentWanted || urgent;
+}
+
+// The messages are empty here; fillUpdates() puts the newest records into them.
+void Membership::Private::burst(int fanout)
+{
+    const std::span<const std::uint32_t> live = table.live();
+    const auto count = std::min<std::size_t>(static_cast<std::size_t>(fanout), live.size());
+    // Consecutive members from a random place of the shuffled probe order are distinct and random.
+    const std::size_t first = live.empty() ? 0 : random.below(live.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        transport.send(controlAddress(table.record(live[(first + i) % live.size()])), wire::Envelope{});
+    }
+}
+
+void Membership::Private::burstTick()
+{
+    if (!burstWanted || (!urgentWanted && !bursts.take(now))) {
+        return;
+    }
+    burstWanted = false;
+    urgentWanted = false;
+    burst(settings.gossipFanout);
+}
+
+TimeMs Membership::Private::suspicionTime(const wire::HostRecord &record) const
+{
+    const auto doublings = static_cast<TimeMs>(std::bit_width(table.live().size() + 1));
+    const TimeMs base = settings.suspicionMinMs + settings.suspicionPerDoublingMs * doublings;
+    const TimeMs factor = record.state == wire::HostState::Draining ? settings.announcedSuspicionFactor : 1;
+    return base * (1 + health) * factor;
+}
+
+void Membership::Private::expireSuspicions()
+{
+    for (int i = 0; i < kMaxExpiredPerTick && !suspicions.empty() && suspicions.top().at <= now; ++i) {
+        const DeadlineItem item = suspicions.top();
+        suspicions.pop();
+        const std::uint32_t slot = table.find(item.hash);
+        // The suspicion may have been refuted, or replaced by a later one.
+        if (slot != kNoSlot && table.record(slot).liveness == wire::Liveness::Suspect
+            && table.entry(slot).deadline == item.at) {
+            setLiveness(slot, wire::Liveness::Dead);
+        }
+    }
+}
+
+void Membership::Private::pruneTombstones()
+{
+    for (int i = 0; i < kMaxExpiredPerTick && !prunes.empty() && prunes.top().at <= now; ++i) {
+        const DeadlineItem item = prunes.top();
+        prunes.pop();
+        const std::uint32_t slot = table.find(item.hash);
+        if (slot != kNoSlot && slot != 0 && !isLive(table.record(slot)) && table.entry(slot).deadline == item.at) {
+            table.remove(slot);
+            ++revision;
+        }
+    }
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/probe.cpp
@@ -0,0 +1,208 @@
+#include <algorithm>
+
+#include "membership_p.h"
+
+namespace fulmarledge {
+
+namespace {
+
+// How long after its timeout a late answer still shows that the own process or network is slow.
+constexpr TimeMs kLateAnswerMs = 2000;
+constexpr TimeMs kRelayMs = 1000;
+constexpr std::size_t kMaxRelays = 64;
+constexpr TimeMs kChallengeMs = 1000;
+constexpr int kMaxSuccessorSteps = 8;
+
+} // namespace
+
+void Membership::Private::probeTick()
+{
+    if (now >= nextProbeAt) {
+        nextProbeAt = now + settings.probePeriodMs;
+        startProbe(table.nextProbe(random));
+    }
+    if (settings.probeSuccessor && now >= nextSuccessorAt) {
+        nextSuccessorAt = now + settings.probePeriodMs;
+        // A suspect member is passed over, so that the one behind it is not left without its regular probe.
+        std::uint32_t slot = table.successor(memberHash(self().host));
+        for (int i = 0; i < kMaxSuccessorSteps && slot != kNoSlot && slot != 0
+             && table.record(slot).liveness == wire::Liveness::Suspect;
+             ++i) {
+            slot = table.successor(table.entry(slot).hash);
+        }
+        startProbe(slot == 0 ? kNoSlot : slot);
+    }
+}
+
+void Membership::Private::startProbe(std::uint32_t slot)
+{
+    if (slot == kNoSlot) {
+        return;
+    }
+    const std::uint64_t target = table.entry(slot).hash;
+    if (std::any_of(probes.begin(), probes.end(),
+                    [&](const Probe &probe) { return probe.target == target && !probe.failed; })) {
+        return;
+    }
+    probes.push_back({++sequence, target, now, now + settings.probeTimeoutMs, heard, false, false});
+    sendPing(slot, sequence);
+}
+
+void Membership::Private::sendPing(std::uint32_t slot, std::int64_t pingSequence)
+{
+    const wire::HostRecord &record = table.record(slot);
+    wire::Envelope ping;
+    ping.__isset.ping = true;
+    ping.ping.sequence = pingSequence;
+    ping.ping.target = record.host;
+    if (record.liveness != wire::Liveness::Alive) {
+        // Tells a suspected host at once, so that it can refute.
+        ping.updates.push_back(record);
+        ping.updates.push_back(self());
+    }
+    transport.send(controlAddress(record), ping);
+}
+
+void Membership::Private::expireProbes()
+{
+    for (Probe &probe : probes) {
+        if (now < probe.deadline || probe.failed) {
+            continue;
+        }
+        const std::uint32_t slot = table.find(probe.target);
+        if (slot == kNoSlot || !isLive(table.record(slot))) {
+            probe.failed = true;
+        } else if (!probe.indirect) {
+            probe.indirect = true;
+            probe.deadline = now + settings.indirectTimeoutMs;
+            wire::Envelope request;
+            request.__isset.pingReq = true;
+            request.pingReq.sequence = probe.sequence;
+            request.pingReq.target = table.record(slot).host;
+            const std::span<const std::uint32_t> live = table.live();
+            const std::size_t first = random.below(live.size());
+            int helpers = 0;
+            for (std::size_t i = 0; i < live.size() && helpers < settings.indirectProbes; ++i) {
+                const std::uint32_t helper = live[(first + i) % live.size()];
+                if (helper != slot) {
+                    transport.send(controlAddress(table.record(helper)), request);
+                    ++helpers;
+                }
+            }
+        } else {
+            failProbe(probe);
+        }
+    }
+    std::erase_if(probes, [&](const Probe &probe) { return probe.failed && now >= probe.deadline + kLateAnswerMs; });
+    std::erase_if(relays, [&](const Relay &relay) { return now >= relay.expires; });
+}
+
+void Membership::Private::failProbe(Probe &probe)
+{
+    probe.failed = true;
+    metrics.count("membership_probe_failures", "", 1);
+    // Hearing from nobody points to the own process or link. With two members both explanations are equal.
+    if (heard == probe.heardBefore && table.live().size() > 1) {
+        changeHealth(1);
+    }
+    const std::uint32_t slot = table.find(probe.target);
+    if (table.record(slot).liveness == wire::Liveness::Alive) {
+        setLiveness(slot, wire::Liveness::Suspect);
+        sendPing(slot, ++sequence);
+    }
+}
+
+void Membership::Private::probeTombstones()
+{
+    if (table.tombstones().empty()) {
+        revivalProbes = 0;
+        return;
+    }
+    if (now < nextTombstoneAt && revivalProbes == 0) {
+        return;
+    }
+    if (revivalProbes > 0) {
+        --revivalProbes;
+    } else {
+        nextTombstoneAt = now + jitter(settings.tombstoneProbeMs);
+    }
+    const std::uint32_t slot = table.tombstones()[random.below(table.tombstones().size())];
+    if (table.record(slot).state != wire::HostState::Left) {
+        sendPing(slot, ++sequence);
+    }
+}
+
+void Membership::Private::challenge(std::uint32_t slot, const SocketAddress &address)
+{
+    HostEntry &entry = table.entry(slot);
+    if (now - entry.challengedAt < kChallengeMs || !challenges.take(now)) {
+        return;
+    }
+    entry.challengedAt = now;
+    wire::Envelope message;
+    message.updates = {table.record(slot), self()};
+    transport.send(address, message);
+}
+
+void Membership::Private::onPing(const wire::Envelope &message)
+{
+    // The address may belong to another host by now.
+    if (message.ping.target != self().host) {
+        return;
+    }
+    wire::Envelope ack;
+    ack.__isset.ack = true;
+    ack.ack.sequence = message.ping.sequence;
+    ack.ack.subject = self().host;
+    const std::uint32_t sender = table.find(message.header.host);
+    if (sender == kNoSlot || !isLive(table.record(sender))) {
+        ack.updates.push_back(self());
+    }
+    transport.send({message.header.address, static_cast<std::uint16_t>(message.header.controlPort)}, ack);
+}
+
+void Membership::Private::onPingReq(const wire::Envelope &message)
+{
+    const std::uint32_t slot = table.find(message.pingReq.target);
+    if (slot == kNoSlot || slot == 0 || relays.size() >= kMaxRelays) {
+        return;
+    }
+    relays.push_back({++sequence,
+                      message.pingReq.sequence,
+                      {message.header.address, static_cast<std::uint16_t>(message.header.controlPort)},
+                      message.pingReq.target,
+                      now + kRelayMs});
+    sendPing(slot, sequence);
+}
+
+void Membership::Private::onAck(const wire::Envelope &message)
+{
+    const auto relay = std::find_if(relays.begin(), relays.end(), [&](const Relay &entry) {
+        return entry.sequence == message.ack.sequence && entry.target == message.ack.subject;
+    });
+    if (relay != relays.end()) {
+        wire::Envelope ack;
+        ack.__isset.ack = true;
+        ack.ack.sequence = relay->originSequence;
+        ack.ack.subject = relay->target;
+        transport.send(relay->requester, ack);
+        relays.erase(relay);
+        return;
+    }
+    const auto probe = std::find_if(probes.begin(), probes.end(), [&](const Probe &entry) {
+        return entry.sequence == message.ack.sequence && entry.target == memberHash(message.ack.subject);
+    });
+    if (probe != probes.end()) {
+        // An answer after the end of the probe shows that answers reach this node too late.
+        changeHealth(probe->failed ? 1 : -1);
+        probes.erase(probe);
+    }
+}
+
+void Membership::Private::changeHealth(int amount)
+{
+    health = std::clamp(health + amount, 0, settings.maxLocalHealth);
+    metrics.gauge("membership_local_health", "", health);
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/tablesync.cpp
@@ -0,0 +1,134 @@
+#include <unordered_map>
+
+#include "membership_p.h"
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr std::size_t kBuckets = FULMARLEDGE_CONFIG_TABLE_BUCKETS;
+// Period of requests while the table is being fetched.
+constexpr TimeMs kSyncMs = 250;
+constexpr TimeMs kExchangeMs = 500;
+// Replies are rounded up to a whole bucket, so they may exceed the sender's setting.
+constexpr std::size_t kMaxMerged = 8192;
+
+SocketAddress senderOf(const wire::Envelope &message)
+{
+    return {message.header.address, static_cast<std::uint16_t>(message.header.controlPort)};
+}
+
+} // namespace
+
+void Membership::Private::onDigest(const wire::Envelope &message)
+{
+    if (static_cast<std::uint64_t>(message.digest.tableHash) == table.tableHash()) {
+        differsSince = 0;
+        syncing = false;
+        stale = false;
+        return;
+    }
+    if (differsSince == 0) {
+        differsSince = now;
+    }
+    // A recent change is left to gossip, which costs less than whole buckets.
+    if (!syncing && now - differsSince >= settings.tableSettleMs && now - lastExchangeAt >= kExchangeMs) {
+        sendTableRequest(senderOf(message));
+    }
+}
+
+void Membership::Private::sendTableRequest(const SocketAddress &to)
+{
+    lastExchangeAt = now;
+    metrics.count("membership_table_requests", "", 1);
+    wire::Envelope request;
+    request.__isset.tableRequest = true;
+    request.tableRequest.buckets.resize(kBuckets);
+    for (std::size_t i = 0; i < kBuckets; ++i) {
+        request.tableRequest.buckets[i].index = static_cast<std::int32_t>(i);
+        request.tableRequest.buckets[i].hash = static_cast<std::int64_t>(table.bucketHash(i));
+    }
+    transport.send(to, request);
+}
+
+void Membership::Private::syncTick()
+{
+    if (!syncing || now < nextSyncAt || table.live().empty()) {
+        return;
+    }
+    nextSyncAt = now + kSyncMs;
+    // Each request goes to another member, so that a large group of joining hosts does not load the contacts.
+    const std::uint32_t peer = table.live()[random.below(table.live().size())];
+    sendTableRequest(controlAddress(table.record(peer)));
+}
+
+void Membership::Private::onTableRequest(const wire::Envelope &message)
+{
+    const std::vector<wire::Bucket> &asked = message.tableRequest.buckets;
+    // A stale table would bring back records that were replaced during the pause.
+    if (stale || asked.empty() || asked.size() > kBuckets || !tableReplies.take(now)) {
+        return;
+    }
+    wire::Envelope reply;
+    reply.__isset.tableReply = true;
+    const std::size_t first = random.below(asked.size());
+    for (std::size_t i = 0; i < asked.size(); ++i) {
+        const wire::Bucket &bucket = asked[(first + i) % asked.size()];
+        const auto index = static_cast<std::size_t>(bucket.index);
+        if (index >= kBuckets || static_cast<std::uint64_t>(bucket.hash) == table.bucketHash(index)) {
+            continue;
+        }
+        reply.tableReply.buckets.push_back(bucket.index);
+        for (const std::uint32_t slot : table.bucket(index)) {
+            reply.tableReply.records.push_back(table.record(slot));
+        }
+        if (reply.tableReply.records.size() >= static_cast<std::size_t>(settings.maxTableRecords)) {
+            break;
+        }
+    }
+    transport.send(senderOf(message), reply);
+}
+
+void Membership::Private::onTableReply(const wire::Envelope &message)
+{
+    const wire::TableReply &reply = message.tableReply;
+    if (reply.records.size() > kMaxMerged || reply.buckets.size() > kBuckets) {
+        metrics.count("membership_records_refused", "oversized-reply", 1);
+        return;
+    }
+    std::unordered_map<std::uint64_t, const wire::HostRecord *> received;
+    for (const wire::HostRecord &record : reply.records) {
+        received.emplace(memberHash(record.host), &record);
+        merge(record, RecordSource::Table);
+    }
+    if (reply.buckets.empty()) {
+        // Without buckets and records it says that both tables are equal; with records it ends the other side's
+        // exchange.
+        if (reply.records.empty()) {
+            syncing = false;
+            stale = false;
+        }
+        return;
+    }
+    stale = false;
+    wire::Envelope back;
+    back.__isset.tableReply = true;
+    for (const std::int32_t index : reply.buckets) {
+        if (index < 0 || index >= static_cast<std::int32_t>(kBuckets)
+            || back.tableReply.records.size() >= static_cast<std::size_t>(settings.maxTableRecords)) {
+            continue;
+        }
+        for (const std::uint32_t slot : table.bucket(static_cast<std::size_t>(index))) {
+            const wire::HostRecord &record = table.record(slot);
+            const auto theirs = received.find(table.entry(slot).hash);
+            if (theirs == received.end() ? isLive(record) : supersedes(record, *theirs->second)) {
+                back.tableReply.records.push_back(record);
+            }
+        }
+    }
+    if (!back.tableReply.records.empty()) {
+        transport.send(senderOf(message), back);
+    }
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/updatequeue.cpp
@@ -0,0 +1,74 @@
+#include "updatequeue_p.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace fulmarledge {
+
+namespace {
+
+// Older entries beyond this number are left to the bucket exchange.
+constexpr std::size_t kMaxQueued = 256;
+// Factor of the logarithm of the fleet size in SWIM's dissemination limit.
+constexpr std::uint32_t kSendsPerDoubling = 3;
+
+bool contains(const wire::Envelope &message, const std::string &host)
+{
+    return std::any_of(message.updates.begin(), message.updates.end(),
+                       [&](const wire::HostRecord &record) { return record.host == host; });
+}
+
+} // namespace
+
+void UpdateQueue::push(HostTable &table, std::uint32_t slot, bool urgent)
+{
+    const auto sends = kSendsPerDoubling * static_cast<std::uint32_t>(std::bit_width(table.live().size() + 1));
+    HostEntry &entry = table.entry(slot);
+    entry.updateStamp = ++m_stamp;
+    std::vector<Item> &items = urgent ? m_urgent : m_normal;
+    if (items.size() >= kMaxQueued) {
+        items.erase(items.begin());
+    }
+    items.push_back({entry.hash, entry.updateStamp, sends});
+}
+
+void UpdateQueue::clear()
+{
+    m_urgent.clear();
+    m_normal.clear();
+}
+
+void UpdateQueue::fill(HostTable &table, wire::Envelope &message, std::size_t maxBytes)
+{
+    std::size_t room = maxBytes;
+    fillFrom(m_urgent, table, message, room);
+    fillFrom(m_normal, table, message, room);
+    message.__isset.updates = true;
+}
+
+void UpdateQueue::fillFrom(std::vector<Item> &items, HostTable &table, wire::Envelope &message, std::size_t &room)
+{
+    for (std::size_t i = items.size(); i-- > 0;) {
+        Item &item = items[i];
+        const std::uint32_t slot = table.find(item.hash);
+        if (slot == kNoSlot || table.entry(slot).updateStamp != item.stamp) {
+            items.erase(items.begin() + static_cast<std::ptrdiff_t>(i));
+            continue;
+        }
+        const wire::HostRecord &record = table.record(slot);
+        if (contains(message, record.host)) {
+            continue;
+        }
+        const std::size_t size = encodedSize(record);
+        if (size > room) {
+            return;
+        }
+        room -= size;
+        message.updates.push_back(record);
+        if (--item.remaining == 0) {
+            items.erase(items.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+    }
+}
+
+} // namespace fulmarledge
