--- a/include/fulmarledge/verdict.h
+++ b/include/fulmarledge/verdict.h
@@ -12,7 +12,7 @@
     Answered = 3, ///< a whole response of the backend server is at hand
 };
 
-/// Why a request was refused, retried or failed. Each has a counter.
+/// Why a request was refused, retried or failed. Each has a counter. Values travel between nodes: add at the end.
 enum class Reason : std::uint8_t {
     None = 0,
     NoRoute,
@@ -37,6 +37,8 @@
     BadHeader,
     CallerGone,
     DepthExceeded,
+    KeyReused, ///< the idempotency key belongs to a different request
+    AnswerNotKept, ///< the keyed request ran, and its answer was too large to keep
     Count
 };
 
--- /dev/null
+++ b/src/core/balancer.cpp
@@ -0,0 +1,100 @@
+#include "fulmarledge/balancer.h"
+
+#include <utility>
+
+#include "fulmarledge/slotguard.h"
+
+namespace fulmarledge {
+
+namespace {
+
+bool isUsable(const SnapshotBackend &backend)
+{
+    return backend.record && backend.record->state == wire::HostState::Serving
+        && backend.record->liveness != wire::Liveness::Dead;
+}
+
+} // namespace
+
+Balancer::Balancer(std::string ownHost, std::string ownZone, std::shared_ptr<const SlotGauge> ownSlots,
+                   const BalancerConfig &config)
+    : m_ownHost(std::move(ownHost))
+    , m_ownZone(std::move(ownZone))
+    , m_ownSlots(std::move(ownSlots))
+    , m_config(config)
+{
+}
+
+std::shared_ptr<const BalancerView> Balancer::attach(std::shared_ptr<const Snapshot> snapshot, TimeMs now)
+{
+    auto view = std::make_shared<BalancerView>();
+    view->m_config = m_config;
+    view->m_ownSlots = m_ownSlots;
+    view->m_snapshot = std::move(snapshot);
+    for (std::uint32_t i = 0; i < view->m_snapshot->services().size(); ++i) {
+        addService(*view, {i}, now);
+    }
+    forget(now);
+    return view;
+}
+
+void Balancer::addService(BalancerView &view, ServiceHandle handle, TimeMs now)
+{
+    const std::string &service = view.m_snapshot->service(handle).spec.name;
+    const auto backends = view.m_snapshot->backends(handle);
+    // Slow start shields a host that joins others. Hosts that are all new to this node share the load evenly.
+    const bool warm = m_knownServices.insert(service).second;
+    BalancerView::Range range{static_cast<std::uint32_t>(view.m_candidates.size()), 0, 0};
+    for (const SnapshotBackend &backend : backends) {
+        const BackendHandle backendHandle{static_cast<std::uint32_t>(view.m_states.size())};
+        const std::shared_ptr<HostState> &state = update(backend, service, warm, now).state;
+        view.m_states.push_back(state);
+        view.m_serviceOf.push_back(handle.idx);
+        if (backend.host == m_ownHost) {
+            view.m_ownBackend = backendHandle.idx;
+        }
+        if (isUsable(backend)) {
+            const bool suspect = backend.record->liveness == wire::Liveness::Suspect && backend.host != m_ownHost;
+            const std::int32_t slots = backend.record->slots;
+            view.m_candidates.push_back({backendHandle, state.get(), slots > 0 ? static_cast<std::uint32_t>(slots) : 1U,
+                                         backend.record->zone == m_ownZone, backend.host == m_ownHost, suspect});
+            ++range.count;
+            range.alive += suspect ? 0 : 1;
+        }
+    }
+    view.m_ranges.push_back(range);
+}
+
+Balancer::Known &Balancer::update(const SnapshotBackend &backend, const std::string &service, bool warm, TimeMs now)
+{
+    Known &known = m_hosts[backend.host];
+    if (!known.state || known.service != service) {
+        known.state = std::make_shared<HostState>();
+        known.service = service;
+        known.serving = false;
+    }
+    const bool serving = isUsable(backend);
+    if (serving && !known.serving) {
+        HostState &state = *known.state;
+        state.servingSince = warm ? now - m_config.slowStartMs : now;
+        // Outcomes and reports from before say nothing about the backend server that starts now.
+        state.failures = 0;
+        state.ejections = 0;
+        state.ejectedUntil = 0;
+        state.refusedUntil = 0;
+        state.latencyMs = 0;
+        state.report = 0;
+    }
+    known.serving = serving;
+    known.lastSeen = now;
+    return known;
+}
+
+void Balancer::forget(TimeMs now)
+{
+    for (auto host = m_hosts.begin(); host != m_hosts.end();) {
+        host = now - host->second.lastSeen >= kForgetMs ? m_hosts.erase(host) : std::next(host);
+    }
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/balancerview.cpp
@@ -0,0 +1,292 @@
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+#include "fulmarledge/balancer.h"
+#include "fulmarledge/memberview.h"
+#include "fulmarledge/slotguard.h"
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr auto kRelaxed = std::memory_order_relaxed;
+constexpr unsigned kReportTimeShift = 16;
+constexpr std::uint64_t kReportLoadMask = 0xffff;
+/// Work that a slot guard can hold per slot: one running and two waiting. A report above it is wrong.
+constexpr double kMaxLoadPerSlot = 3;
+/// Share of its weight that a host starts with. At 0 it would get no request that shows whether it works.
+constexpr double kFirstWeight = 0.1;
+constexpr float kLatencySampleWeight = 0.2F;
+constexpr std::size_t kMedianSamples = 64;
+constexpr std::uint32_t kMaxDoublings = 16;
+
+} // namespace
+
+std::span<const BalancerView::Candidate> BalancerView::candidates(ServiceHandle service) const
+{
+    const Range &range = m_ranges[service.idx];
+    return std::span(m_candidates).subspan(range.first, range.count);
+}
+
+const SnapshotBackend &BalancerView::backend(BackendHandle handle) const
+{
+    const ServiceHandle service{m_serviceOf[handle.idx]};
+    return m_snapshot->backends(service)[handle.idx - m_snapshot->service(service).firstBackend];
+}
+
+bool BalancerView::isOwnHost(BackendHandle handle) const
+{
+    return handle.idx == m_ownBackend;
+}
+
+std::size_t BalancerView::ejectedCount(ServiceHandle service, TimeMs now) const
+{
+    const auto hosts = candidates(service);
+    return static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(), [&](const Candidate &host) { return isEjected(service, host, now); }));
+}
+
+std::uint32_t BalancerView::ejectionLimit(ServiceHandle service) const
+{
+    return m_ranges[service.idx].alive / 2;
+}
+
+bool BalancerView::isEjected(ServiceHandle service, const Candidate &host, TimeMs now) const
+{
+    const TimeMs until = host.state->ejectedUntil.load(kRelaxed);
+    if (until <= now || host.suspect) {
+        return false;
+    }
+    // Threads that eject at once, or hosts that left since, can bring more hosts over the limit. Then only the
+    // ejections that last longest count.
+    std::uint32_t longer = 0;
+    for (const Candidate &other : candidates(service)) {
+        const TimeMs otherUntil = other.state->ejectedUntil.load(kRelaxed);
+        const bool first = otherUntil > until || (otherUntil == until && other.handle.idx < host.handle.idx);
+        longer += !other.suspect && first ? 1 : 0;
+    }
+    return longer < ejectionLimit(service);
+}
+
+double BalancerView::weight(const Candidate &host, TimeMs now) const
+{
+    const auto age = static_cast<double>(now - host.state->servingSince.load(kRelaxed));
+    const double warmth = age / static_cast<double>(std::max<TimeMs>(m_config.slowStartMs, 1));
+    return host.slots * std::clamp(warmth, kFirstWeight, 1.0);
+}
+
+double BalancerView::agedLoad(const Candidate &host, TimeMs now) const
+{
+    const double limit = kMaxLoadPerSlot * host.slots;
+    if (host.state->refusedUntil.load(kRelaxed) > now) {
+        return limit;
+    }
+    const std::uint64_t report = host.state->report.load(kRelaxed);
+    const double load = std::min(static_cast<double>(report & kReportLoadMask), limit);
+    const auto age = static_cast<double>(now - static_cast<TimeMs>(report >> kReportTimeShift));
+    return load == 0 ? 0 : load * std::exp2(-std::max(age, 0.0) / static_cast<double>(m_config.loadHalfLifeMs));
+}
+
+bool BalancerView::isLess(const Candidate &a, const Candidate &b, TimeMs now) const
+{
+    // The request to be placed counts as outstanding, so that weights matter between idle hosts too.
+    const double costA = (a.state->outstanding.load(kRelaxed) + 1 + agedLoad(a, now)) / weight(a, now);
+    const double costB = (b.state->outstanding.load(kRelaxed) + 1 + agedLoad(b, now)) / weight(b, now);
+    return costA < costB;
+}
+
+bool BalancerView::zoneIsFull(ServiceHandle service, TimeMs now) const
+{
+    double work = 0;
+    double slots = 0;
+    for (const Candidate &host : candidates(service)) {
+        if (host.ownZone && !host.suspect && !isEjected(service, host, now)) {
+            // A report includes this node's own requests, so the larger of the two counts, not the sum.
+            work += std::max<double>(host.state->outstanding.load(kRelaxed), agedLoad(host, now));
+            slots += host.slots;
+        }
+    }
+    return work >= slots;
+}
+
+template <typename Filter>
+BackendHandle BalancerView::pickOfTwo(ServiceHandle service, Filter allowed, RandomSource &random, TimeMs now) const
+{
+    // Reservoir sampling: a uniform pair in one pass without a list of the allowed hosts.
+    std::array<const Candidate *, 2> pair{};
+    std::uint64_t seen = 0;
+    for (const Candidate &host : candidates(service)) {
+        if (!allowed(host)) {
+            continue;
+        }
+        const std::uint64_t place = seen < pair.size() ? seen : random.below(seen + 1);
+        if (place < pair.size()) {
+            pair[place] = &host;
+        }
+        ++seen;
+    }
+    if (pair[0] == nullptr) {
+        return {};
+    }
+    if (pair[1] == nullptr) {
+        return pair[0]->handle;
+    }
+    // Of two equal hosts a fixed one would get all requests while the service is idle.
+    if (random.below(2) == 1) {
+        std::swap(pair[0], pair[1]);
+    }
+    return isLess(*pair[1], *pair[0], now) ? pair[1]->handle : pair[0]->handle;
+}
+
+BackendHandle BalancerView::choose(ServiceHandle service, const TriedHosts &tried, RandomSource &random,
+                                   TimeMs now) const
+{
+    const auto isFresh = [&](const Candidate &host) { return !host.suspect && !tried.contains(host.state); };
+    const auto isGood = [&](const Candidate &host) { return isFresh(host) && !isEjected(service, host, now); };
+    if (m_ownSlots != nullptr && m_ownSlots->freeSlots.load(kRelaxed) > 0) {
+        for (const Candidate &host : candidates(service)) {
+            if (host.ownHost && isGood(host)) {
+                return host.handle;
+            }
+        }
+    }
+    BackendHandle chosen;
+    if (!zoneIsFull(service, now)) {
+        chosen = pickOfTwo(
+            service, [&](const Candidate &host) { return host.ownZone && isGood(host); }, random, now);
+    }
+    if (!isValid(chosen)) {
+        chosen = pickOfTwo(service, isGood, random, now);
+    }
+    if (!isValid(chosen)) {
+        chosen = pickOfTwo(service, isFresh, random, now);
+    }
+    if (!isValid(chosen)) {
+        chosen = pickOfTwo(
+            service, [&](const Candidate &host) { return !tried.contains(host.state); }, random, now);
+    }
+    return chosen;
+}
+
+bool BalancerView::hasUntried(ServiceHandle service, const TriedHosts &tried) const
+{
+    const auto hosts = candidates(service);
+    return std::any_of(hosts.begin(), hosts.end(), [&](const Candidate &host) { return !tried.contains(host.state); });
+}
+
+BackendHandle BalancerView::ownerOf(ServiceHandle service, std::string_view key) const
+{
+    const std::string &name = m_snapshot->service(service).spec.name;
+    const std::uint64_t hash = XXH3_64bits_withSeed(key.data(), key.size(), XXH3_64bits(name.data(), name.size()));
+    std::array<char, sizeof hash> seed{};
+    for (std::size_t i = 0; i < seed.size(); ++i) {
+        seed[i] = static_cast<char>((hash >> (8 * i)) & 0xff);
+    }
+    const Candidate *owner = nullptr;
+    std::uint64_t highest = 0;
+    for (const Candidate &host : candidates(service)) {
+        const std::uint64_t rank = rendezvousWeight({seed.data(), seed.size()}, backend(host.handle).host);
+        if (owner == nullptr || rank > highest) {
+            owner = &host;
+            highest = rank;
+        }
+    }
+    return owner == nullptr ? BackendHandle{} : owner->handle;
+}
+
+void BalancerView::beginAttempt(BackendHandle handle) const
+{
+    state(handle).outstanding.fetch_add(1, kRelaxed);
+}
+
+void BalancerView::endAttempt(BackendHandle handle, AttemptEnd end, double latencyMs, TimeMs now) const
+{
+    HostState &host = state(handle);
+    const ServiceHandle service{m_serviceOf[handle.idx]};
+    host.outstanding.fetch_sub(1, kRelaxed);
+    if (end == AttemptEnd::TimedOut && latencyMs <= host.latencyMs.load(kRelaxed) * m_config.latencyFactor) {
+        // The caller's deadline was short. Counted, it would let one caller eject hosts that work.
+        return;
+    }
+    if (end == AttemptEnd::Refused) {
+        host.refusedUntil.store(now + m_config.refusalHoldMs, kRelaxed);
+    } else if (end == AttemptEnd::Failed || end == AttemptEnd::TimedOut) {
+        if (host.failures.fetch_add(1, kRelaxed) + 1 >= m_config.consecutiveFailures) {
+            eject(service, host, now);
+        }
+    } else if (end == AttemptEnd::Answered) {
+        host.failures.store(0, kRelaxed);
+        addLatency(host, latencyMs);
+        if ((host.answers.fetch_add(1, kRelaxed) + 1) % m_config.latencySamples == 0) {
+            if (isSlow(service, host)) {
+                eject(service, host, now);
+            } else if (now - host.ejectedUntil.load(kRelaxed) > ejectionMs(host)) {
+                host.ejections.store(0, kRelaxed);
+            }
+        }
+    }
+}
+
+void BalancerView::reportLoad(BackendHandle handle, std::uint32_t load, TimeMs now) const
+{
+    const std::uint64_t word = (static_cast<std::uint64_t>(std::max<TimeMs>(now, 0)) << kReportTimeShift)
+        | std::min<std::uint64_t>(load, kReportLoadMask);
+    state(handle).report.store(word, kRelaxed);
+}
+
+void BalancerView::addLatency(HostState &host, double latencyMs) const
+{
+    const auto sample = static_cast<float>(std::max(latencyMs, 0.01));
+    float old = host.latencyMs.load(kRelaxed);
+    float mean = 0;
+    do {
+        mean = old == 0 ? sample : old + (sample - old) * kLatencySampleWeight;
+    } while (!host.latencyMs.compare_exchange_weak(old, mean, kRelaxed));
+}
+
+bool BalancerView::isSlow(ServiceHandle service, const HostState &host) const
+{
+    const auto hosts = candidates(service);
+    const std::size_t step = hosts.size() / kMedianSamples + 1;
+    std::array<float, kMedianSamples> samples{};
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < hosts.size(); i += step) {
+        const float latency = hosts[i].state->latencyMs.load(kRelaxed);
+        if (latency > 0 && !hosts[i].suspect) {
+            samples[count++] = latency;
+        }
+    }
+    if (count < 2) {
+        return false;
+    }
+    // The lower middle: of two hosts the slower one is compared with the faster one.
+    const auto middle = samples.begin() + static_cast<std::ptrdiff_t>((count - 1) / 2);
+    std::nth_element(samples.begin(), middle, samples.begin() + static_cast<std::ptrdiff_t>(count));
+    const double median = *middle;
+    const double latency = host.latencyMs.load(kRelaxed);
+    return latency > median * m_config.latencyFactor && latency > median + m_config.latencyFloorMs;
+}
+
+TimeMs BalancerView::ejectionMs(const HostState &host) const
+{
+    const std::uint32_t doublings = std::min(host.ejections.load(kRelaxed), kMaxDoublings);
+    return std::min(m_config.firstEjectionMs << doublings, m_config.maxEjectionMs);
+}
+
+void BalancerView::eject(ServiceHandle service, HostState &host, TimeMs now) const
+{
+    TimeMs until = host.ejectedUntil.load(kRelaxed);
+    if (until > now || ejectedCount(service, now) >= ejectionLimit(service)) {
+        return;
+    }
+    if (!host.ejectedUntil.compare_exchange_strong(until, now + ejectionMs(host), kRelaxed)) {
+        return;
+    }
+    host.ejections.fetch_add(1, kRelaxed);
+    // One failure after the ejection ejects again, and the latency is measured anew.
+    host.failures.store(m_config.consecutiveFailures - 1, kRelaxed);
+    host.latencyMs.store(0, kRelaxed);
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/retry.cpp
@@ -0,0 +1,140 @@
+#include "fulmarledge/retry.h"
+
+#include <algorithm>
+
+namespace fulmarledge {
+
+namespace {
+
+// Layout of a bucket: 28 bits of the second, 18 bits of requests, 18 bits of retries.
+constexpr std::uint64_t kRetry = 1;
+constexpr std::uint64_t kRequest = std::uint64_t{1} << 18;
+constexpr std::uint64_t kCountMask = kRequest - 1;
+constexpr unsigned kSecondShift = 36;
+constexpr std::uint64_t kSecondMask = (std::uint64_t{1} << 28) - 1;
+
+std::uint64_t secondOf(std::uint64_t word)
+{
+    return word >> kSecondShift;
+}
+
+std::uint64_t requestsOf(std::uint64_t word)
+{
+    return (word / kRequest) & kCountMask;
+}
+
+std::uint64_t retriesOf(std::uint64_t word)
+{
+    return word & kCountMask;
+}
+
+std::int64_t secondAt(TimeMs now)
+{
+    return now / 1000;
+}
+
+} // namespace
+
+RetryBudget::RetryBudget(const RetryConfig &config)
+    : m_config(config)
+{
+}
+
+std::atomic<std::uint64_t> &RetryBudget::bucket(std::int64_t second)
+{
+    return m_buckets[static_cast<std::size_t>(second) % kSeconds];
+}
+
+void RetryBudget::add(std::int64_t second, std::uint64_t amount)
+{
+    const std::uint64_t tag = static_cast<std::uint64_t>(second) & kSecondMask;
+    std::atomic<std::uint64_t> &word = bucket(second);
+    std::uint64_t old = word.load(std::memory_order_relaxed);
+    std::uint64_t changed = 0;
+    do {
+        const std::uint64_t base = secondOf(old) == tag ? old : tag << kSecondShift;
+        const bool saturated = amount == kRequest ? requestsOf(base) == kCountMask : retriesOf(base) == kCountMask;
+        changed = saturated ? base : base + amount;
+    } while (!word.compare_exchange_weak(old, changed, std::memory_order_relaxed));
+}
+
+void RetryBudget::addRequest(TimeMs now)
+{
+    add(secondAt(now), kRequest);
+}
+
+bool RetryBudget::isWithin(std::int64_t second) const
+{
+    std::uint64_t requests = 0;
+    std::uint64_t retries = 0;
+    for (const std::atomic<std::uint64_t> &word : m_buckets) {
+        const std::uint64_t value = word.load(std::memory_order_relaxed);
+        const std::uint64_t age = (static_cast<std::uint64_t>(second) - secondOf(value)) & kSecondMask;
+        if (age < kSeconds) {
+            requests += requestsOf(value);
+            retries += retriesOf(value);
+        }
+    }
+    return retries * 100 <= requests * m_config.percent + std::uint64_t{m_config.perSecond} * kSeconds * 100;
+}
+
+bool RetryBudget::take(TimeMs now)
+{
+    // Counted before the check: threads that race can only refuse too much, never allow too much.
+    const std::int64_t second = secondAt(now);
+    add(second, kRetry);
+    if (isWithin(second)) {
+        return true;
+    }
+    std::atomic<std::uint64_t> &word = bucket(second);
+    std::uint64_t old = word.load(std::memory_order_relaxed);
+    while (secondOf(old) == (static_cast<std::uint64_t>(second) & kSecondMask) && retriesOf(old) > 0
+           && !word.compare_exchange_weak(old, old - kRetry, std::memory_order_relaxed)) {
+    }
+    return false;
+}
+
+bool isRetryable(Reason notRunReason)
+{
+    switch (notRunReason) {
+    case Reason::NotReady:
+    case Reason::StaleNode:
+    case Reason::ConnectFailed:
+    case Reason::ConnectionLost:
+    case Reason::QueueFull:
+    case Reason::DeadlineUnreachable:
+    case Reason::Draining:
+    case Reason::WrongHost:
+    case Reason::ShedLoad:
+        return true;
+    default:
+        // Includes "attempts" and "retry-budget": a node further down the call chain has retried already.
+        return false;
+    }
+}
+
+RetryDecision decideRetry(const AttemptOutcome &outcome, const RetryConfig &config, RetryBudget &budget,
+                          RandomSource &random, TimeMs now)
+{
+    if (outcome.verdict == Verdict::Answered) {
+        return {false, 0, Reason::None};
+    }
+    if (outcome.verdict == Verdict::NotRun ? !isRetryable(outcome.reason) : !outcome.idempotent || outcome.keyed) {
+        return {false, 0, outcome.reason};
+    }
+    if (outcome.attempts >= config.maxAttempts) {
+        return {false, 0, Reason::AttemptsExhausted};
+    }
+    const unsigned doublings = std::min(outcome.attempts - 1, 16U);
+    const TimeMs longest = std::min(config.firstBackoffMs << doublings, config.maxBackoffMs);
+    const auto delay = static_cast<TimeMs>(random.below(static_cast<std::uint64_t>(longest) + 1));
+    if (delay >= outcome.remainingMs) {
+        return {false, 0, Reason::DeadlineExceeded};
+    }
+    if (!budget.take(now)) {
+        return {false, 0, Reason::BudgetExhausted};
+    }
+    return {true, delay, Reason::None};
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/slotguard.cpp
@@ -0,0 +1,346 @@
+#include "fulmarledge/slotguard.h"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace fulmarledge {
+
+namespace {
+
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+constexpr std::size_t indexOf(ServiceClass serviceClass)
+{
+    return static_cast<std::size_t>(serviceClass);
+}
+
+} // namespace
+
+SlotGuard::SlotGuard(const GuardConfig &config)
+    : m_config(config)
+    , m_gauge(std::make_shared<SlotGauge>())
+{
+}
+
+void SlotGuard::serve(std::string_view service, std::uint32_t slots, TimeMs now)
+{
+    const std::uint64_t hash = hashOf(service);
+    if (hash != m_service) {
+        refuseWaiting(Reason::WrongHost);
+        m_serviceMs = {0, 0};
+        m_bulkLimitedUntil = now;
+    }
+    m_service = hash;
+    m_slots = slots;
+    m_draining = false;
+    const std::size_t capacity = std::size_t{slots} * (1 + m_config.queuePerSlot) + 1;
+    m_entries.reserve(capacity);
+    m_callers.reserve(capacity);
+    publish();
+}
+
+GuardDecision SlotGuard::submit(const GuardRequest &request, TimeMs now)
+{
+    const std::uint64_t hash = hashOf(request.caller);
+    Reason reason = check(request, now);
+    const bool full = m_waiting >= m_slots * m_config.queuePerSlot;
+    const bool runs = m_waiting == 0 && mayStart(request.serviceClass, now);
+    if (reason == Reason::None && !runs && full && !makeRoom(request.serviceClass, hash)) {
+        reason = Reason::QueueFull;
+    }
+    if (reason != Reason::None) {
+        return {GuardState::Refuse, {}, reason, static_cast<TimeMs>(std::ceil(expectedWaitMs(request.serviceClass)))};
+    }
+    Entry &entry = m_entries.emplace_back();
+    entry.id = {++m_lastId};
+    entry.caller = callerIndex(hash);
+    entry.deadline = request.deadline;
+    entry.serviceClass = request.serviceClass;
+    ++m_callers[entry.caller].work;
+    ++m_waiting;
+    if (runs) {
+        start(entry, now);
+    } else if (request.serviceClass == ServiceClass::Interactive) {
+        limitBulk(now);
+    }
+    publish();
+    return {entry.state, entry.id, Reason::None, 0};
+}
+
+bool SlotGuard::finish(GuardEntryId id, bool answered, TimeMs now)
+{
+    Entry *entry = find(id);
+    if (entry == nullptr || entry->state != GuardState::Run) {
+        return false;
+    }
+    const auto elapsed = static_cast<double>(now - entry->started);
+    double &mean = m_serviceMs[indexOf(entry->serviceClass)];
+    if (mean == 0) {
+        mean = elapsed;
+    } else if (answered || elapsed > mean) {
+        // The time of a request that was cut only says that the service takes at least as long.
+        mean += (elapsed - mean) * m_config.serviceTimeWeight;
+    }
+    --m_running;
+    m_runningBulk -= entry->serviceClass == ServiceClass::Bulk ? 1 : 0;
+    remove(*entry);
+    publish();
+    return true;
+}
+
+GuardCancel SlotGuard::cancel(GuardEntryId id)
+{
+    Entry *entry = find(id);
+    if (entry == nullptr) {
+        return GuardCancel::Unknown;
+    }
+    if (entry->state == GuardState::Run) {
+        return GuardCancel::Running;
+    }
+    m_waiting -= entry->state == GuardState::Wait ? 1 : 0;
+    remove(*entry);
+    publish();
+    return GuardCancel::Removed;
+}
+
+std::optional<GuardDecision> SlotGuard::next(TimeMs now)
+{
+    if (Entry *entry = mustRefuse(now)) {
+        return refuse(*entry);
+    }
+    Entry *entry = bestWaiting(now);
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    if (!canMeet(entry->serviceClass, entry->deadline, 0, now)) {
+        entry->refusal = Reason::DeadlineUnreachable;
+        return refuse(*entry);
+    }
+    if (entry->serviceClass == ServiceClass::Interactive) {
+        limitBulk(now);
+    }
+    start(*entry, now);
+    publish();
+    return GuardDecision{GuardState::Run, entry->id, Reason::None, 0};
+}
+
+std::optional<TimeMs> SlotGuard::nextWakeup() const
+{
+    std::optional<TimeMs> earliest;
+    for (const Entry &entry : m_entries) {
+        if (entry.state == GuardState::Wait && (!earliest || entry.deadline < *earliest)) {
+            earliest = entry.deadline;
+        }
+    }
+    // Bulk work that waits only for the end of its limit has no other event that starts it.
+    if (earliest && m_running < m_slots) {
+        earliest = std::min(*earliest, m_bulkLimitedUntil);
+    }
+    return earliest;
+}
+
+void SlotGuard::drain()
+{
+    m_draining = true;
+    // A backend server that leaves must get no new work after 3 s, and a waiting request certainly did not run, so it
+    // is sent elsewhere at once.
+    refuseWaiting(Reason::Draining);
+    publish();
+}
+
+Reason SlotGuard::check(const GuardRequest &request, TimeMs now) const
+{
+    if (hashOf(request.service) != m_service || m_slots == 0) {
+        return Reason::WrongHost;
+    }
+    if (m_draining) {
+        return Reason::Draining;
+    }
+    if (request.deadline <= now) {
+        return Reason::DeadlineExceeded;
+    }
+    const double waitMs = mayStart(request.serviceClass, now) ? 0 : expectedWaitMs(request.serviceClass);
+    return canMeet(request.serviceClass, request.deadline, waitMs, now) ? Reason::None : Reason::DeadlineUnreachable;
+}
+
+bool SlotGuard::canMeet(ServiceClass serviceClass, TimeMs deadline, double waitMs, TimeMs now) const
+{
+    // With nothing running the request is admitted whatever the mean says: otherwise a mean that was measured during
+    // a slow spell would refuse all work and never be measured again.
+    if (m_running == 0) {
+        return true;
+    }
+    return static_cast<double>(deadline - now) >= waitMs + m_serviceMs[indexOf(serviceClass)];
+}
+
+double SlotGuard::expectedWaitMs(ServiceClass serviceClass) const
+{
+    if (m_slots == 0) {
+        return 0;
+    }
+    // One slot has to become free, and the work that goes first has to pass through the slots.
+    double work = std::max(m_serviceMs[0], m_serviceMs[1]);
+    for (const Entry &entry : m_entries) {
+        if (entry.state == GuardState::Wait && indexOf(entry.serviceClass) <= indexOf(serviceClass)) {
+            work += m_serviceMs[indexOf(entry.serviceClass)];
+        }
+    }
+    return work / m_slots;
+}
+
+bool SlotGuard::mayStart(ServiceClass serviceClass, TimeMs now) const
+{
+    if (m_draining || m_running >= m_slots) {
+        return false;
+    }
+    return serviceClass == ServiceClass::Interactive || now >= m_bulkLimitedUntil || m_runningBulk < m_slots / 2;
+}
+
+void SlotGuard::limitBulk(TimeMs now)
+{
+    // Running bulk work cannot be interrupted. If the limit ended as soon as no interactive work waits, bulk would
+    // take every slot in each gap, and each interactive request would wait for a bulk one.
+    m_bulkLimitedUntil = now + m_config.bulkLimitMs;
+}
+
+bool SlotGuard::goesBefore(const Entry &a, const Entry &b) const
+{
+    if (a.serviceClass != b.serviceClass) {
+        return a.serviceClass == ServiceClass::Interactive;
+    }
+    const std::uint32_t workA = m_callers[a.caller].work;
+    const std::uint32_t workB = m_callers[b.caller].work;
+    if (workA != workB) {
+        return workA < workB;
+    }
+    return a.deadline != b.deadline ? a.deadline < b.deadline : a.id.value < b.id.value;
+}
+
+bool SlotGuard::makeRoom(ServiceClass serviceClass, std::uint64_t callerHash)
+{
+    Entry *last = nullptr;
+    for (Entry &entry : m_entries) {
+        if (entry.state == GuardState::Wait && (last == nullptr || goesBefore(*last, entry))) {
+            last = &entry;
+        }
+    }
+    if (last == nullptr) {
+        return false;
+    }
+    const bool higherClass = serviceClass == ServiceClass::Interactive && last->serviceClass == ServiceClass::Bulk;
+    const bool lessWork = serviceClass == last->serviceClass && workOf(callerHash) + 1 < m_callers[last->caller].work;
+    if (!higherClass && !lessWork) {
+        return false;
+    }
+    last->refusal = Reason::QueueFull;
+    last->state = GuardState::Refuse;
+    --m_waiting;
+    return true;
+}
+
+SlotGuard::Entry *SlotGuard::bestWaiting(TimeMs now)
+{
+    Entry *best = nullptr;
+    for (Entry &entry : m_entries) {
+        if (entry.state == GuardState::Wait && mayStart(entry.serviceClass, now)
+            && (best == nullptr || goesBefore(entry, *best))) {
+            best = &entry;
+        }
+    }
+    return best;
+}
+
+SlotGuard::Entry *SlotGuard::mustRefuse(TimeMs now)
+{
+    for (Entry &entry : m_entries) {
+        if (entry.state == GuardState::Refuse) {
+            return &entry;
+        }
+        if (entry.state == GuardState::Wait && entry.deadline <= now) {
+            entry.refusal = Reason::DeadlineExceeded;
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+GuardDecision SlotGuard::refuse(Entry &entry)
+{
+    const GuardDecision decision{GuardState::Refuse, entry.id, entry.refusal,
+                                 static_cast<TimeMs>(std::ceil(expectedWaitMs(entry.serviceClass)))};
+    m_waiting -= entry.state == GuardState::Wait ? 1 : 0;
+    remove(entry);
+    publish();
+    return decision;
+}
+
+void SlotGuard::refuseWaiting(Reason reason)
+{
+    for (Entry &entry : m_entries) {
+        if (entry.state == GuardState::Wait) {
+            entry.state = GuardState::Refuse;
+            entry.refusal = reason;
+            --m_waiting;
+        }
+    }
+}
+
+void SlotGuard::start(Entry &entry, TimeMs now)
+{
+    entry.state = GuardState::Run;
+    entry.started = now;
+    --m_waiting;
+    ++m_running;
+    m_runningBulk += entry.serviceClass == ServiceClass::Bulk ? 1 : 0;
+}
+
+SlotGuard::Entry *SlotGuard::find(GuardEntryId id)
+{
+    const auto found
+        = std::find_if(m_entries.begin(), m_entries.end(), [id](const Entry &entry) { return entry.id == id; });
+    return found == m_entries.end() ? nullptr : &*found;
+}
+
+void SlotGuard::remove(Entry &entry)
+{
+    --m_callers[entry.caller].work;
+    entry = m_entries.back();
+    m_entries.pop_back();
+}
+
+std::size_t SlotGuard::callerIndex(std::uint64_t hash)
+{
+    std::size_t unused = m_callers.size();
+    for (std::size_t i = 0; i < m_callers.size(); ++i) {
+        if (m_callers[i].work == 0) {
+            unused = i;
+        } else if (m_callers[i].hash == hash) {
+            return i;
+        }
+    }
+    if (unused == m_callers.size()) {
+        m_callers.emplace_back();
+    }
+    m_callers[unused] = {hash, 0};
+    return unused;
+}
+
+std::uint32_t SlotGuard::workOf(std::uint64_t hash) const
+{
+    const auto found = std::find_if(m_callers.begin(), m_callers.end(),
+                                    [hash](const Caller &caller) { return caller.hash == hash; });
+    return found == m_callers.end() ? 0 : found->work;
+}
+
+void SlotGuard::publish()
+{
+    const bool accepts = !m_draining && m_waiting == 0 && m_running < m_slots;
+    m_gauge->freeSlots.store(accepts ? m_slots - m_running : 0, std::memory_order_relaxed);
+    m_gauge->outstanding.store(m_running + m_waiting, std::memory_order_relaxed);
+}
+
+} // namespace fulmarledge
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -43,6 +43,8 @@
         "bad-header",
         "caller-gone",
         "depth",
+        "key-reused",
+        "answer-not-kept",
     };
     const auto index = static_cast<std::size_t>(reason);
     return index < kNames.size() ? kNames[index] : "unknown";
