Add the HTTP platform store and the platform stand-in

HttpStore maps HTTP results to store statuses: a write that may have been sent is an unknown outcome, any call that was certainly not sent is unavailable. The stand-in keeps its store logic in a class without I/O, with time passed in, so that tests can drive faults exactly.

--- /dev/null
+++ b/src/adapters/httpstore.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "fulmarledge/ports.h"
+#include "httpclient.h"
+
+namespace fulmarledge {
+
+/// Field with the object's version in responses of the platform.
+constexpr std::string_view kObjectVersionField = "Object-Version";
+
+/// The platform's object API over HTTP. Belongs to the thread of the client's loop.
+class HttpStore : public PlatformStore
+{
+public:
+    struct Settings {
+        SocketAddress address;
+        std::int64_t timeoutMs = 5000; ///< of each call but `watch`, which adds it to its own timeout
+        std::int64_t connectTimeoutMs = 1000;
+    };
+
+    /// @param metrics counts each call as `platform-calls` with the label "<operation> <status>". Must outlive `client`.
+    HttpStore(HttpClient &client, MetricsSink &metrics, Settings settings);
+
+    void get(std::string_view kind, std::string_view name, StoreCallback callback) override;
+    void list(std::string_view kind, StoreCallback callback) override;
+    void create(std::string_view kind, std::string_view name, std::string_view value, StoreCallback callback) override;
+    void update(std::string_view kind, std::string_view name, std::int64_t expectedVersion, std::string_view value,
+                StoreCallback callback) override;
+    void remove(std::string_view kind, std::string_view name, std::int64_t expectedVersion,
+                StoreCallback callback) override;
+    void watch(std::string_view kind, std::string_view name, std::int64_t fromVersion, std::int64_t timeoutMs,
+               StoreCallback callback) override;
+
+private:
+    enum class Operation : std::uint8_t { Get, List, Create, Update, Remove, Watch };
+
+    static std::string_view operationName(Operation operation);
+    static StoreStatus statusOf(Operation operation, const HttpResult &result);
+    static StoreReply replyOf(Operation operation, std::string_view kind, std::string_view name, HttpResult result);
+    HttpRequest request(std::string method, std::string_view collection, std::string_view kind,
+                        std::string_view name) const;
+    void send(Operation operation, HttpRequest request, std::string_view kind, std::string_view name,
+              StoreCallback callback);
+
+    HttpClient &m_client;
+    MetricsSink &m_metrics;
+    Settings m_settings;
+};
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/platformstandin_store.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "httpclient.h"
+
+namespace fulmarledge {
+
+/// Response of the stand-in.
+struct StandinReply {
+    int status = 200;
+    HttpFields fields;
+    std::string body;
+};
+
+using StandinCallback = std::function<void(StandinReply)>;
+
+/// One call of the object API.
+struct StandinCall {
+    std::string operation; ///< "get", "list", "create", "update", "remove" or "watch"
+    std::string kind;
+    std::string name;
+    std::int64_t version = 0; ///< expected version of a write, or the version a watch starts from
+    std::int64_t timeoutMs = 0; ///< of a watch
+    std::string value;
+};
+
+/// A fault in force. See `PlatformStandinStore::setFaults`.
+struct StandinFault {
+    std::string mode;
+    std::set<std::string> kinds; ///< empty means every kind
+    std::set<std::string> operations; ///< empty means every operation
+    std::int64_t delayMs = 0;
+    std::int64_t ratePerSecond = 0;
+    std::int64_t retryAfterMs = 0;
+    std::optional<TimeMs> until;
+    std::deque<TimeMs> passed; ///< calls let through in the last second, for "throttle"
+};
+
+/// Largest number of calls in any window of 1 s.
+class RateWindow
+{
+public:
+    void add(TimeMs now);
+    std::size_t highest() const
+    {
+        return m_highest;
+    }
+
+private:
+    std::deque<TimeMs> m_times;
+    std::size_t m_highest = 0;
+};
+
+/// In-memory object store with versions, conditional updates, watches and injected faults. Versions rise over the whole
+/// store, so a name that is created again gets a higher version than it had. Not thread-safe; time comes from outside.
+class PlatformStandinStore
+{
+public:
+    /// The callback runs at once, in a later `tick`, or never when a fault loses the answer.
+    void call(const StandinCall &call, StandinCallback callback, TimeMs now);
+    /// Answers delayed calls and watches that are due.
+    void tick(TimeMs now);
+
+    /// Replaces all faults. `text` is one JSON object or a list of them:
+    /// {"mode": "none" | "down" | "slow" | "throttle" | "lose" | "expire" | "silent", "kinds": [...],
+    ///  "operations": [...], "delay_ms": N, "rate": N, "retry_after_ms": N, "for_ms": N}
+    bool setFaults(std::string_view text, TimeMs now, LastReason &error);
+    /// Calls, waiting watches and highest rates as JSON.
+    std::string statsText() const;
+
+private:
+    struct Object {
+        std::int64_t version = 0;
+        std::string value;
+    };
+    struct Watch {
+        StandinCall call;
+        StandinCallback callback;
+        TimeMs due = 0;
+        bool silent = false;
+    };
+    struct Delayed {
+        StandinCall call;
+        StandinCallback callback;
+    };
+    using Key = std::pair<std::string, std::string>;
+
+    void count(const StandinCall &call, std::string_view outcome);
+    void countRate(const StandinCall &call, TimeMs now);
+    StandinFault *fault(std::string_view mode, const StandinCall &call, TimeMs now);
+    bool throttled(const StandinCall &call, TimeMs now, StandinReply &reply);
+    void run(const StandinCall &call, const StandinCallback &callback, TimeMs now);
+    void answer(const StandinCall &call, const StandinCallback &callback, StandinReply reply);
+    StandinReply perform(const StandinCall &call);
+    StandinReply read(const StandinCall &call) const;
+    StandinReply list(const StandinCall &call) const;
+    StandinReply write(const StandinCall &call);
+    void startWatch(const StandinCall &call, const StandinCallback &callback, TimeMs now);
+    void wakeWatches(const Key &key);
+    void expireWatches(const StandinFault &fault);
+
+    std::map<Key, Object> m_objects;
+    std::map<Key, std::int64_t> m_historyFloor; ///< watches from below this version get 410
+    std::int64_t m_revision = 0;
+    std::multimap<TimeMs, Delayed> m_delayed;
+    std::map<std::uint64_t, Watch> m_watches;
+    std::uint64_t m_nextWatch = 1;
+    std::size_t m_mostWatches = 0;
+    std::vector<StandinFault> m_faults;
+    std::map<std::string, std::map<std::string, std::uint64_t>> m_calls; ///< by operation and outcome
+    std::map<std::string, std::map<std::string, std::uint64_t>> m_kinds; ///< by object kind and operation
+    RateWindow m_reads;
+    RateWindow m_writes;
+};
+
+} // namespace fulmarledge
