--- /dev/null
+++ b/src/core/controlnode.cpp
@@ -0,0 +1,160 @@
+#include "fulmarledge/controlnode.h"
+
+#include "fulmarledge/config.h"
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr std::size_t kKeptEvents = 64;
+constexpr std::size_t kKeptActivations = 256;
+
+/// Room for records in a datagram beside a small message. Pushes and contents carry none, because they may fill the
+/// datagram by themselves.
+constexpr std::size_t kUpdateBytes = FULMARLEDGE_CONFIG_MAX_DATAGRAM_BYTES - 400;
+
+bool carriesUpdates(const wire::Envelope &message)
+{
+    const auto &set = message.__isset;
+    return !set.push && !set.content && !set.tableReply && !set.joinReply && !set.tableRequest;
+}
+
+template<typename Entry>
+void keepNewest(std::deque<Entry> &entries, Entry entry, std::size_t limit)
+{
+    entries.push_back(std::move(entry));
+    if (entries.size() > limit) {
+        entries.pop_front();
+    }
+}
+
+wire::Header headerOf(const wire::HostRecord &self)
+{
+    wire::Header header;
+    header.host = self.host;
+    header.zone = self.zone;
+    header.address = self.address;
+    header.controlPort = self.controlPort;
+    return header;
+}
+
+} // namespace
+
+ControlNode::ControlNode(const ControlSettings &settings, const wire::HostRecord &self, PeerTransport &transport, PlatformStore &store, RandomSource &random,
+                         MetricsSink &metrics, EventLog &log, ControlListener &listener)
+    : m_settings(settings)
+    , m_header(headerOf(self))
+    , m_transport(transport)
+    , m_metrics(metrics)
+    , m_log(log)
+    , m_listener(listener)
+    , m_membership(settings.membership, self, *this, store, random, metrics, *this)
+    , m_spread(settings.spread, m_membership, *this, store, random, metrics, *this, *this)
+{
+}
+
+ControlNode::~ControlNode() = default;
+
+void ControlNode::start(TimeMs now, std::int64_t wallClockMs)
+{
+    m_lastTickMs = now;
+    m_wallClockMs = wallClockMs;
+    m_membership.start(now, wallClockMs);
+    m_spread.start(now);
+    updateReadiness();
+}
+
+void ControlNode::onTick(TimeMs now, std::int64_t wallClockMs)
+{
+    m_wallClockMs = wallClockMs;
+    if (now - m_lastTickMs > m_settings.clockJumpMs) {
+        event("clock-jump", "no tick for " + std::to_string(now - m_lastTickMs) + " ms; version and table are refreshed");
+        m_metrics.count("clock-jumps", "", 1);
+        m_spread.onClockJump(now);
+    }
+    m_lastTickMs = now;
+    m_membership.onTick(now);
+    m_spread.onTick(now);
+    updateSnapshot(now);
+    updateReadiness();
+}
+
+void ControlNode::onMessage(TimeMs now, const wire::Envelope &message)
+{
+    m_membership.onMessage(now, message);
+    m_spread.onMessage(now, message);
+    if (m_manifestChanged) {
+        updateSnapshot(now);
+        updateReadiness();
+    }
+}
+
+void ControlNode::setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName, std::int32_t slots)
+{
+    m_membership.setLocalState(now, state, serviceName, slots);
+}
+
+void ControlNode::leave(TimeMs now)
+{
+    m_membership.leave(now);
+}
+
+void ControlNode::send(const SocketAddress &to, const wire::Envelope &message)
+{
+    wire::Envelope stamped = message;
+    stamped.header = m_header;
+    stamped.header.incarnation = m_membership.self().incarnation;
+    stamped.header.version = m_version;
+    if (carriesUpdates(stamped)) {
+        m_membership.fillUpdates(stamped, kUpdateBytes);
+    }
+    m_transport.send(to, stamped);
+}
+
+void ControlNode::onManifest(Version version, const std::string &digest, std::shared_ptr<const Manifest> manifest)
+{
+    m_version = version;
+    m_manifest = std::move(manifest);
+    m_manifestChanged = true;
+    event("manifest-active", "version=" + std::to_string(version) + " digest=" + digest);
+    m_metrics.gauge("manifest-version", "", static_cast<double>(version));
+}
+
+void ControlNode::updateSnapshot(TimeMs now)
+{
+    if (!m_manifest) {
+        return;
+    }
+    const bool tableChanged = m_membership.revision() != m_builtRevision;
+    if (!m_manifestChanged && (!tableChanged || now - m_builtMs < m_settings.rebuildMs)) {
+        return;
+    }
+    m_builtRevision = m_membership.revision();
+    m_builtMs = now;
+    m_listener.onSnapshot(Snapshot::build(m_version, *m_manifest, m_membership.records()));
+    if (m_manifestChanged) {
+        m_manifestChanged = false;
+        keepNewest(m_activations, {m_version, m_wallClockMs}, kKeptActivations);
+    }
+}
+
+void ControlNode::updateReadiness()
+{
+    const bool ready = m_spread.isReady() && m_manifest != nullptr && !m_membership.isStale();
+    if (m_readinessKnown && ready == m_ready) {
+        return;
+    }
+    m_readinessKnown = true;
+    m_ready = ready;
+    const Reason reason = ready ? Reason::None : m_membership.isStale() ? Reason::StaleNode : Reason::NotReady;
+    event(ready ? "ready" : "not-ready", "version=" + std::to_string(m_version) + " reason=" + std::string(reasonName(reason)));
+    m_listener.onReadiness(ready, reason);
+}
+
+void ControlNode::event(std::string_view name, std::string_view detail)
+{
+    keepNewest(m_events, {m_wallClockMs, std::string(name) + " " + std::string(detail)}, kKeptEvents);
+    m_log.event(name, detail);
+}
+
+} // namespace fulmarledge
