--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -1051,6 +1051,11 @@
 void Digest::__set_reply(const bool val) {
   this->reply = val;
 }
+
+void Digest::__set_nonce(const int64_t val) {
+  this->nonce = val;
+__isset.nonce = true;
+}
 std::ostream& operator<<(std::ostream& out, const Digest& obj)
 {
   obj.printTo(out);
@@ -1103,6 +1108,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nonce);
+          this->__isset.nonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1132,6 +1145,11 @@
   xfer += oprot->writeBool(this->reply);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.nonce) {
+    xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->nonce);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1142,6 +1160,7 @@
   swap(a.version, b.version);
   swap(a.tableHash, b.tableHash);
   swap(a.reply, b.reply);
+  swap(a.nonce, b.nonce);
   swap(a.__isset, b.__isset);
 }
 
@@ -1149,18 +1168,21 @@
   version = other22.version;
   tableHash = other22.tableHash;
   reply = other22.reply;
+  nonce = other22.nonce;
   __isset = other22.__isset;
 }
 Digest::Digest(Digest&& other23) noexcept {
   version = other23.version;
   tableHash = other23.tableHash;
   reply = other23.reply;
+  nonce = other23.nonce;
   __isset = other23.__isset;
 }
 Digest& Digest::operator=(const Digest& other24) noexcept {
   version = other24.version;
   tableHash = other24.tableHash;
   reply = other24.reply;
+  nonce = other24.nonce;
   __isset = other24.__isset;
   return *this;
 }
@@ -1168,6 +1190,7 @@
   version = other25.version;
   tableHash = other25.tableHash;
   reply = other25.reply;
+  nonce = other25.nonce;
   __isset = other25.__isset;
   return *this;
 }
@@ -1177,6 +1200,7 @@
   out << "version=" << to_string(version);
   out << ", " << "tableHash=" << to_string(tableHash);
   out << ", " << "reply=" << to_string(reply);
+  out << ", " << "nonce="; (__isset.nonce ? (out << to_string(nonce)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1636,6 +1660,10 @@
 void Push::__set_intervalEnd(const int64_t val) {
   this->intervalEnd = val;
 }
+
+void Push::__set_ackWanted(const bool val) {
+  this->ackWanted = val;
+}
 std::ostream& operator<<(std::ostream& out, const Push& obj)
 {
   obj.printTo(out);
@@ -1688,6 +1716,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ackWanted);
+          this->__isset.ackWanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1717,6 +1753,10 @@
   xfer += oprot->writeI64(this->intervalEnd);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ackWanted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->ackWanted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1727,6 +1767,7 @@
   swap(a.content, b.content);
   swap(a.intervalBegin, b.intervalBegin);
   swap(a.intervalEnd, b.intervalEnd);
+  swap(a.ackWanted, b.ackWanted);
   swap(a.__isset, b.__isset);
 }
 
@@ -1734,18 +1775,21 @@
   content = other58.content;
   intervalBegin = other58.intervalBegin;
   intervalEnd = other58.intervalEnd;
+  ackWanted = other58.ackWanted;
   __isset = other58.__isset;
 }
 Push::Push(Push&& other59) noexcept {
   content = std::move(other59.content);
   intervalBegin = other59.intervalBegin;
   intervalEnd = other59.intervalEnd;
+  ackWanted = other59.ackWanted;
   __isset = other59.__isset;
 }
 Push& Push::operator=(const Push& other60) {
   content = other60.content;
   intervalBegin = other60.intervalBegin;
   intervalEnd = other60.intervalEnd;
+  ackWanted = other60.ackWanted;
   __isset = other60.__isset;
   return *this;
 }
@@ -1753,6 +1797,7 @@
   content = std::move(other61.content);
   intervalBegin = other61.intervalBegin;
   intervalEnd = other61.intervalEnd;
+  ackWanted = other61.ackWanted;
   __isset = other61.__isset;
   return *this;
 }
@@ -1762,6 +1807,7 @@
   out << "content=" << to_string(content);
   out << ", " << "intervalBegin=" << to_string(intervalBegin);
   out << ", " << "intervalEnd=" << to_string(intervalEnd);
+  out << ", " << "ackWanted=" << to_string(ackWanted);
   out << ")";
 }
 
@@ -1990,6 +2036,107 @@
 }
 
 
+PullRefusal::~PullRefusal() noexcept {
+}
+
+
+void PullRefusal::__set_retryAfterMs(const int32_t val) {
+  this->retryAfterMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const PullRefusal& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PullRefusal::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PullRefusal::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PullRefusal");
+
+  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->retryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PullRefusal &a, PullRefusal &b) {
+  using ::std::swap;
+  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.__isset, b.__isset);
+}
+
+PullRefusal::PullRefusal(const PullRefusal& other70) noexcept {
+  retryAfterMs = other70.retryAfterMs;
+  __isset = other70.__isset;
+}
+PullRefusal::PullRefusal(PullRefusal&& other71) noexcept {
+  retryAfterMs = other71.retryAfterMs;
+  __isset = other71.__isset;
+}
+PullRefusal& PullRefusal::operator=(const PullRefusal& other72) noexcept {
+  retryAfterMs = other72.retryAfterMs;
+  __isset = other72.__isset;
+  return *this;
+}
+PullRefusal& PullRefusal::operator=(PullRefusal&& other73) noexcept {
+  retryAfterMs = other73.retryAfterMs;
+  __isset = other73.__isset;
+  return *this;
+}
+void PullRefusal::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PullRefusal(";
+  out << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ")";
+}
+
+
 Bucket::~Bucket() noexcept {
 }
 
@@ -2082,26 +2229,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Bucket::Bucket(const Bucket& other70) noexcept {
-  index = other70.index;
-  hash = other70.hash;
-  __isset = other70.__isset;
+Bucket::Bucket(const Bucket& other74) noexcept {
+  index = other74.index;
+  hash = other74.hash;
+  __isset = other74.__isset;
 }
-Bucket::Bucket(Bucket&& other71) noexcept {
-  index = other71.index;
-  hash = other71.hash;
-  __isset = other71.__isset;
+Bucket::Bucket(Bucket&& other75) noexcept {
+  index = other75.index;
+  hash = other75.hash;
+  __isset = other75.__isset;
 }
-Bucket& Bucket::operator=(const Bucket& other72) noexcept {
-  index = other72.index;
-  hash = other72.hash;
-  __isset = other72.__isset;
+Bucket& Bucket::operator=(const Bucket& other76) noexcept {
+  index = other76.index;
+  hash = other76.hash;
+  __isset = other76.__isset;
   return *this;
 }
-Bucket& Bucket::operator=(Bucket&& other73) noexcept {
-  index = other73.index;
-  hash = other73.hash;
-  __isset = other73.__isset;
+Bucket& Bucket::operator=(Bucket&& other77) noexcept {
+  index = other77.index;
+  hash = other77.hash;
+  __isset = other77.__isset;
   return *this;
 }
 void Bucket::printTo(std::ostream& out) const {
@@ -2152,14 +2299,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->buckets.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->buckets.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->buckets[_i78].read(iprot);
+              xfer += this->buckets[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2188,10 +2335,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<Bucket> ::const_iterator _iter79;
-    for (_iter79 = this->buckets.begin(); _iter79 != this->buckets.end(); ++_iter79)
+    std::vector<Bucket> ::const_iterator _iter83;
+    for (_iter83 = this->buckets.begin(); _iter83 != this->buckets.end(); ++_iter83)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2208,22 +2355,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TableRequest::TableRequest(const TableRequest& other80) {
-  buckets = other80.buckets;
-  __isset = other80.__isset;
+TableRequest::TableRequest(const TableRequest& other84) {
+  buckets = other84.buckets;
+  __isset = other84.__isset;
 }
-TableRequest::TableRequest(TableRequest&& other81) noexcept {
-  buckets = std::move(other81.buckets);
-  __isset = other81.__isset;
+TableRequest::TableRequest(TableRequest&& other85) noexcept {
+  buckets = std::move(other85.buckets);
+  __isset = other85.__isset;
 }
-TableRequest& TableRequest::operator=(const TableRequest& other82) {
-  buckets = other82.buckets;
-  __isset = other82.__isset;
+TableRequest& TableRequest::operator=(const TableRequest& other86) {
+  buckets = other86.buckets;
+  __isset = other86.__isset;
   return *this;
 }
-TableRequest& TableRequest::operator=(TableRequest&& other83) noexcept {
-  buckets = std::move(other83.buckets);
-  __isset = other83.__isset;
+TableRequest& TableRequest::operator=(TableRequest&& other87) noexcept {
+  buckets = std::move(other87.buckets);
+  __isset = other87.__isset;
   return *this;
 }
 void TableRequest::printTo(std::ostream& out) const {
@@ -2277,14 +2424,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->buckets.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->buckets.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += iprot->readI32(this->buckets[_i88]);
+              xfer += iprot->readI32(this->buckets[_i92]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2297,14 +2444,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->records.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->records.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->records[_i93].read(iprot);
+              xfer += this->records[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2333,10 +2480,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter94;
-    for (_iter94 = this->buckets.begin(); _iter94 != this->buckets.end(); ++_iter94)
+    std::vector<int32_t> ::const_iterator _iter98;
+    for (_iter98 = this->buckets.begin(); _iter98 != this->buckets.end(); ++_iter98)
     {
-      xfer += oprot->writeI32((*_iter94));
+      xfer += oprot->writeI32((*_iter98));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2345,10 +2492,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<HostRecord> ::const_iterator _iter95;
-    for (_iter95 = this->records.begin(); _iter95 != this->records.end(); ++_iter95)
+    std::vector<HostRecord> ::const_iterator _iter99;
+    for (_iter99 = this->records.begin(); _iter99 != this->records.end(); ++_iter99)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2366,26 +2513,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TableReply::TableReply(const TableReply& other96) {
-  buckets = other96.buckets;
-  records = other96.records;
-  __isset = other96.__isset;
+TableReply::TableReply(const TableReply& other100) {
+  buckets = other100.buckets;
+  records = other100.records;
+  __isset = other100.__isset;
 }
-TableReply::TableReply(TableReply&& other97) noexcept {
-  buckets = std::move(other97.buckets);
-  records = std::move(other97.records);
-  __isset = other97.__isset;
+TableReply::TableReply(TableReply&& other101) noexcept {
+  buckets = std::move(other101.buckets);
+  records = std::move(other101.records);
+  __isset = other101.__isset;
 }
-TableReply& TableReply::operator=(const TableReply& other98) {
-  buckets = other98.buckets;
-  records = other98.records;
-  __isset = other98.__isset;
+TableReply& TableReply::operator=(const TableReply& other102) {
+  buckets = other102.buckets;
+  records = other102.records;
+  __isset = other102.__isset;
   return *this;
 }
-TableReply& TableReply::operator=(TableReply&& other99) noexcept {
-  buckets = std::move(other99.buckets);
-  records = std::move(other99.records);
-  __isset = other99.__isset;
+TableReply& TableReply::operator=(TableReply&& other103) noexcept {
+  buckets = std::move(other103.buckets);
+  records = std::move(other103.records);
+  __isset = other103.__isset;
   return *this;
 }
 void TableReply::printTo(std::ostream& out) const {
@@ -2472,22 +2619,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Join::Join(const Join& other100) noexcept {
-  sequence = other100.sequence;
-  __isset = other100.__isset;
+Join::Join(const Join& other104) noexcept {
+  sequence = other104.sequence;
+  __isset = other104.__isset;
 }
-Join::Join(Join&& other101) noexcept {
-  sequence = other101.sequence;
-  __isset = other101.__isset;
+Join::Join(Join&& other105) noexcept {
+  sequence = other105.sequence;
+  __isset = other105.__isset;
 }
-Join& Join::operator=(const Join& other102) noexcept {
-  sequence = other102.sequence;
-  __isset = other102.__isset;
+Join& Join::operator=(const Join& other106) noexcept {
+  sequence = other106.sequence;
+  __isset = other106.__isset;
   return *this;
 }
-Join& Join::operator=(Join&& other103) noexcept {
-  sequence = other103.sequence;
-  __isset = other103.__isset;
+Join& Join::operator=(Join&& other107) noexcept {
+  sequence = other107.sequence;
+  __isset = other107.__isset;
   return *this;
 }
 void Join::printTo(std::ostream& out) const {
@@ -2561,14 +2708,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->records.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->records.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->records[_i108].read(iprot);
+              xfer += this->records[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2605,10 +2752,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<HostRecord> ::const_iterator _iter109;
-    for (_iter109 = this->records.begin(); _iter109 != this->records.end(); ++_iter109)
+    std::vector<HostRecord> ::const_iterator _iter113;
+    for (_iter113 = this->records.begin(); _iter113 != this->records.end(); ++_iter113)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2627,30 +2774,30 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinReply::JoinReply(const JoinReply& other110) {
-  sequence = other110.sequence;
-  retryAfterMs = other110.retryAfterMs;
-  records = other110.records;
-  __isset = other110.__isset;
+JoinReply::JoinReply(const JoinReply& other114) {
+  sequence = other114.sequence;
+  retryAfterMs = other114.retryAfterMs;
+  records = other114.records;
+  __isset = other114.__isset;
 }
-JoinReply::JoinReply(JoinReply&& other111) noexcept {
-  sequence = other111.sequence;
-  retryAfterMs = other111.retryAfterMs;
-  records = std::move(other111.records);
-  __isset = other111.__isset;
+JoinReply::JoinReply(JoinReply&& other115) noexcept {
+  sequence = other115.sequence;
+  retryAfterMs = other115.retryAfterMs;
+  records = std::move(other115.records);
+  __isset = other115.__isset;
 }
-JoinReply& JoinReply::operator=(const JoinReply& other112) {
-  sequence = other112.sequence;
-  retryAfterMs = other112.retryAfterMs;
-  records = other112.records;
-  __isset = other112.__isset;
+JoinReply& JoinReply::operator=(const JoinReply& other116) {
+  sequence = other116.sequence;
+  retryAfterMs = other116.retryAfterMs;
+  records = other116.records;
+  __isset = other116.__isset;
   return *this;
 }
-JoinReply& JoinReply::operator=(JoinReply&& other113) noexcept {
-  sequence = other113.sequence;
-  retryAfterMs = other113.retryAfterMs;
-  records = std::move(other113.records);
-  __isset = other113.__isset;
+JoinReply& JoinReply::operator=(JoinReply&& other117) noexcept {
+  sequence = other117.sequence;
+  retryAfterMs = other117.retryAfterMs;
+  records = std::move(other117.records);
+  __isset = other117.__isset;
   return *this;
 }
 void JoinReply::printTo(std::ostream& out) const {
@@ -2731,6 +2878,11 @@
 __isset.joinReply = true;
 }
 
+void Envelope::__set_pullRefusal(const PullRefusal& val) {
+  this->pullRefusal = val;
+__isset.pullRefusal = true;
+}
+
 void Envelope::__set_updates(const std::vector<HostRecord> & val) {
   this->updates = val;
 }
@@ -2866,18 +3018,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->pullRefusal.read(iprot);
+          this->__isset.pullRefusal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 20:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->updates.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->updates.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->updates[_i118].read(iprot);
+              xfer += this->updates[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2967,13 +3127,18 @@
     xfer += this->joinReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.pullRefusal) {
+    xfer += oprot->writeFieldBegin("pullRefusal", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->pullRefusal.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<HostRecord> ::const_iterator _iter119;
-    for (_iter119 = this->updates.begin(); _iter119 != this->updates.end(); ++_iter119)
+    std::vector<HostRecord> ::const_iterator _iter123;
+    for (_iter123 = this->updates.begin(); _iter123 != this->updates.end(); ++_iter123)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2999,78 +3164,83 @@
   swap(a.tableReply, b.tableReply);
   swap(a.join, b.join);
   swap(a.joinReply, b.joinReply);
+  swap(a.pullRefusal, b.pullRefusal);
   swap(a.updates, b.updates);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other120) {
-  header = other120.header;
-  ping = other120.ping;
-  pingReq = other120.pingReq;
-  ack = other120.ack;
-  digest = other120.digest;
-  push = other120.push;
-  pushAck = other120.pushAck;
-  pull = other120.pull;
-  content = other120.content;
-  tableRequest = other120.tableRequest;
-  tableReply = other120.tableReply;
-  join = other120.join;
-  joinReply = other120.joinReply;
-  updates = other120.updates;
-  __isset = other120.__isset;
-}
-Envelope::Envelope(Envelope&& other121) noexcept {
-  header = std::move(other121.header);
-  ping = std::move(other121.ping);
-  pingReq = std::move(other121.pingReq);
-  ack = std::move(other121.ack);
-  digest = std::move(other121.digest);
-  push = std::move(other121.push);
-  pushAck = std::move(other121.pushAck);
-  pull = std::move(other121.pull);
-  content = std::move(other121.content);
-  tableRequest = std::move(other121.tableRequest);
-  tableReply = std::move(other121.tableReply);
-  join = std::move(other121.join);
-  joinReply = std::move(other121.joinReply);
-  updates = std::move(other121.updates);
-  __isset = other121.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other122) {
-  header = other122.header;
-  ping = other122.ping;
-  pingReq = other122.pingReq;
-  ack = other122.ack;
-  digest = other122.digest;
-  push = other122.push;
-  pushAck = other122.pushAck;
-  pull = other122.pull;
-  content = other122.content;
-  tableRequest = other122.tableRequest;
-  tableReply = other122.tableReply;
-  join = other122.join;
-  joinReply = other122.joinReply;
-  updates = other122.updates;
-  __isset = other122.__isset;
+Envelope::Envelope(const Envelope& other124) {
+  header = other124.header;
+  ping = other124.ping;
+  pingReq = other124.pingReq;
+  ack = other124.ack;
+  digest = other124.digest;
+  push = other124.push;
+  pushAck = other124.pushAck;
+  pull = other124.pull;
+  content = other124.content;
+  tableRequest = other124.tableRequest;
+  tableReply = other124.tableReply;
+  join = other124.join;
+  joinReply = other124.joinReply;
+  pullRefusal = other124.pullRefusal;
+  updates = other124.updates;
+  __isset = other124.__isset;
+}
+Envelope::Envelope(Envelope&& other125) noexcept {
+  header = std::move(other125.header);
+  ping = std::move(other125.ping);
+  pingReq = std::move(other125.pingReq);
+  ack = std::move(other125.ack);
+  digest = std::move(other125.digest);
+  push = std::move(other125.push);
+  pushAck = std::move(other125.pushAck);
+  pull = std::move(other125.pull);
+  content = std::move(other125.content);
+  tableRequest = std::move(other125.tableRequest);
+  tableReply = std::move(other125.tableReply);
+  join = std::move(other125.join);
+  joinReply = std::move(other125.joinReply);
+  pullRefusal = std::move(other125.pullRefusal);
+  updates = std::move(other125.updates);
+  __isset = other125.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other126) {
+  header = other126.header;
+  ping = other126.ping;
+  pingReq = other126.pingReq;
+  ack = other126.ack;
+  digest = other126.digest;
+  push = other126.push;
+  pushAck = other126.pushAck;
+  pull = other126.pull;
+  content = other126.content;
+  tableRequest = other126.tableRequest;
+  tableReply = other126.tableReply;
+  join = other126.join;
+  joinReply = other126.joinReply;
+  pullRefusal = other126.pullRefusal;
+  updates = other126.updates;
+  __isset = other126.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other123) noexcept {
-  header = std::move(other123.header);
-  ping = std::move(other123.ping);
-  pingReq = std::move(other123.pingReq);
-  ack = std::move(other123.ack);
-  digest = std::move(other123.digest);
-  push = std::move(other123.push);
-  pushAck = std::move(other123.pushAck);
-  pull = std::move(other123.pull);
-  content = std::move(other123.content);
-  tableRequest = std::move(other123.tableRequest);
-  tableReply = std::move(other123.tableReply);
-  join = std::move(other123.join);
-  joinReply = std::move(other123.joinReply);
-  updates = std::move(other123.updates);
-  __isset = other123.__isset;
+Envelope& Envelope::operator=(Envelope&& other127) noexcept {
+  header = std::move(other127.header);
+  ping = std::move(other127.ping);
+  pingReq = std::move(other127.pingReq);
+  ack = std::move(other127.ack);
+  digest = std::move(other127.digest);
+  push = std::move(other127.push);
+  pushAck = std::move(other127.pushAck);
+  pull = std::move(other127.pull);
+  content = std::move(other127.content);
+  tableRequest = std::move(other127.tableRequest);
+  tableReply = std::move(other127.tableReply);
+  join = std::move(other127.join);
+  joinReply = std::move(other127.joinReply);
+  pullRefusal = std::move(other127.pullRefusal);
+  updates = std::move(other127.updates);
+  __isset = other127.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -3089,6 +3259,7 @@
   out << ", " << "tableReply="; (__isset.tableReply ? (out << to_string(tableReply)) : (out << "<null>"));
   out << ", " << "join="; (__isset.join ? (out << to_string(join)) : (out << "<null>"));
   out << ", " << "joinReply="; (__isset.joinReply ? (out << to_string(joinReply)) : (out << "<null>"));
+  out << ", " << "pullRefusal="; (__isset.pullRefusal ? (out << to_string(pullRefusal)) : (out << "<null>"));
   out << ", " << "updates=" << to_string(updates);
   out << ")";
 }
@@ -3186,26 +3357,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HttpField::HttpField(const HttpField& other124) {
-  name = other124.name;
-  value = other124.value;
-  __isset = other124.__isset;
+HttpField::HttpField(const HttpField& other128) {
+  name = other128.name;
+  value = other128.value;
+  __isset = other128.__isset;
 }
-HttpField::HttpField(HttpField&& other125) noexcept {
-  name = std::move(other125.name);
-  value = std::move(other125.value);
-  __isset = other125.__isset;
+HttpField::HttpField(HttpField&& other129) noexcept {
+  name = std::move(other129.name);
+  value = std::move(other129.value);
+  __isset = other129.__isset;
 }
-HttpField& HttpField::operator=(const HttpField& other126) {
-  name = other126.name;
-  value = other126.value;
-  __isset = other126.__isset;
+HttpField& HttpField::operator=(const HttpField& other130) {
+  name = other130.name;
+  value = other130.value;
+  __isset = other130.__isset;
   return *this;
 }
-HttpField& HttpField::operator=(HttpField&& other127) noexcept {
-  name = std::move(other127.name);
-  value = std::move(other127.value);
-  __isset = other127.__isset;
+HttpField& HttpField::operator=(HttpField&& other131) noexcept {
+  name = std::move(other131.name);
+  value = std::move(other131.value);
+  __isset = other131.__isset;
   return *this;
 }
 void HttpField::printTo(std::ostream& out) const {
@@ -3332,14 +3503,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fields.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->fields.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->fields.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->fields[_i132].read(iprot);
+              xfer += this->fields[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3440,10 +3611,10 @@
   xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
-    std::vector<HttpField> ::const_iterator _iter133;
-    for (_iter133 = this->fields.begin(); _iter133 != this->fields.end(); ++_iter133)
+    std::vector<HttpField> ::const_iterator _iter137;
+    for (_iter137 = this->fields.begin(); _iter137 != this->fields.end(); ++_iter137)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3499,66 +3670,66 @@
   swap(a.__isset, b.__isset);
 }
 
-HopRequest::HopRequest(const HopRequest& other134) {
-  id = other134.id;
-  serviceName = other134.serviceName;
-  method = other134.method;
-  target = other134.target;
-  fields = other134.fields;
-  body = other134.body;
-  deadlineMs = other134.deadlineMs;
-  requestId = other134.requestId;
-  idempotencyKey = other134.idempotencyKey;
-  caller = other134.caller;
-  bulk = other134.bulk;
-  version = other134.version;
-  __isset = other134.__isset;
-}
-HopRequest::HopRequest(HopRequest&& other135) noexcept {
-  id = other135.id;
-  serviceName = std::move(other135.serviceName);
-  method = std::move(other135.method);
-  target = std::move(other135.target);
-  fields = std::move(other135.fields);
-  body = std::move(other135.body);
-  deadlineMs = other135.deadlineMs;
-  requestId = std::move(other135.requestId);
-  idempotencyKey = std::move(other135.idempotencyKey);
-  caller = std::move(other135.caller);
-  bulk = other135.bulk;
-  version = other135.version;
-  __isset = other135.__isset;
-}
-HopRequest& HopRequest::operator=(const HopRequest& other136) {
-  id = other136.id;
-  serviceName = other136.serviceName;
-  method = other136.method;
-  target = other136.target;
-  fields = other136.fields;
-  body = other136.body;
-  deadlineMs = other136.deadlineMs;
-  requestId = other136.requestId;
-  idempotencyKey = other136.idempotencyKey;
-  caller = other136.caller;
-  bulk = other136.bulk;
-  version = other136.version;
-  __isset = other136.__isset;
+HopRequest::HopRequest(const HopRequest& other138) {
+  id = other138.id;
+  serviceName = other138.serviceName;
+  method = other138.method;
+  target = other138.target;
+  fields = other138.fields;
+  body = other138.body;
+  deadlineMs = other138.deadlineMs;
+  requestId = other138.requestId;
+  idempotencyKey = other138.idempotencyKey;
+  caller = other138.caller;
+  bulk = other138.bulk;
+  version = other138.version;
+  __isset = other138.__isset;
+}
+HopRequest::HopRequest(HopRequest&& other139) noexcept {
+  id = other139.id;
+  serviceName = std::move(other139.serviceName);
+  method = std::move(other139.method);
+  target = std::move(other139.target);
+  fields = std::move(other139.fields);
+  body = std::move(other139.body);
+  deadlineMs = other139.deadlineMs;
+  requestId = std::move(other139.requestId);
+  idempotencyKey = std::move(other139.idempotencyKey);
+  caller = std::move(other139.caller);
+  bulk = other139.bulk;
+  version = other139.version;
+  __isset = other139.__isset;
+}
+HopRequest& HopRequest::operator=(const HopRequest& other140) {
+  id = other140.id;
+  serviceName = other140.serviceName;
+  method = other140.method;
+  target = other140.target;
+  fields = other140.fields;
+  body = other140.body;
+  deadlineMs = other140.deadlineMs;
+  requestId = other140.requestId;
+  idempotencyKey = other140.idempotencyKey;
+  caller = other140.caller;
+  bulk = other140.bulk;
+  version = other140.version;
+  __isset = other140.__isset;
   return *this;
 }
-HopRequest& HopRequest::operator=(HopRequest&& other137) noexcept {
-  id = other137.id;
-  serviceName = std::move(other137.serviceName);
-  method = std::move(other137.method);
-  target = std::move(other137.target);
-  fields = std::move(other137.fields);
-  body = std::move(other137.body);
-  deadlineMs = other137.deadlineMs;
-  requestId = std::move(other137.requestId);
-  idempotencyKey = std::move(other137.idempotencyKey);
-  caller = std::move(other137.caller);
-  bulk = other137.bulk;
-  version = other137.version;
-  __isset = other137.__isset;
+HopRequest& HopRequest::operator=(HopRequest&& other141) noexcept {
+  id = other141.id;
+  serviceName = std::move(other141.serviceName);
+  method = std::move(other141.method);
+  target = std::move(other141.target);
+  fields = std::move(other141.fields);
+  body = std::move(other141.body);
+  deadlineMs = other141.deadlineMs;
+  requestId = std::move(other141.requestId);
+  idempotencyKey = std::move(other141.idempotencyKey);
+  caller = std::move(other141.caller);
+  bulk = other141.bulk;
+  version = other141.version;
+  __isset = other141.__isset;
   return *this;
 }
 void HopRequest::printTo(std::ostream& out) const {
@@ -3653,9 +3824,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast138;
-          xfer += iprot->readI32(ecast138);
-          this->verdict = static_cast<Verdict::type>(ecast138);
+          int32_t ecast142;
+          xfer += iprot->readI32(ecast142);
+          this->verdict = static_cast<Verdict::type>(ecast142);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3681,14 +3852,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fields.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->fields.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->fields.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->fields[_i143].read(iprot);
+              xfer += this->fields[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3757,10 +3928,10 @@
   xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
-    std::vector<HttpField> ::const_iterator _iter144;
-    for (_iter144 = this->fields.begin(); _iter144 != this->fields.end(); ++_iter144)
+    std::vector<HttpField> ::const_iterator _iter148;
+    for (_iter148 = this->fields.begin(); _iter148 != this->fields.end(); ++_iter148)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3796,50 +3967,50 @@
   swap(a.__isset, b.__isset);
 }
 
-HopResponse::HopResponse(const HopResponse& other145) {
-  id = other145.id;
-  verdict = other145.verdict;
-  reason = other145.reason;
-  status = other145.status;
-  fields = other145.fields;
-  body = other145.body;
-  outstanding = other145.outstanding;
-  retryAfterMs = other145.retryAfterMs;
-  __isset = other145.__isset;
-}
-HopResponse::HopResponse(HopResponse&& other146) noexcept {
-  id = other146.id;
-  verdict = other146.verdict;
-  reason = other146.reason;
-  status = other146.status;
-  fields = std::move(other146.fields);
-  body = std::move(other146.body);
-  outstanding = other146.outstanding;
-  retryAfterMs = other146.retryAfterMs;
-  __isset = other146.__isset;
-}
-HopResponse& HopResponse::operator=(const HopResponse& other147) {
-  id = other147.id;
-  verdict = other147.verdict;
-  reason = other147.reason;
-  status = other147.status;
-  fields = other147.fields;
-  body = other147.body;
-  outstanding = other147.outstanding;
-  retryAfterMs = other147.retryAfterMs;
-  __isset = other147.__isset;
+HopResponse::HopResponse(const HopResponse& other149) {
+  id = other149.id;
+  verdict = other149.verdict;
+  reason = other149.reason;
+  status = other149.status;
+  fields = other149.fields;
+  body = other149.body;
+  outstanding = other149.outstanding;
+  retryAfterMs = other149.retryAfterMs;
+  __isset = other149.__isset;
+}
+HopResponse::HopResponse(HopResponse&& other150) noexcept {
+  id = other150.id;
+  verdict = other150.verdict;
+  reason = other150.reason;
+  status = other150.status;
+  fields = std::move(other150.fields);
+  body = std::move(other150.body);
+  outstanding = other150.outstanding;
+  retryAfterMs = other150.retryAfterMs;
+  __isset = other150.__isset;
+}
+HopResponse& HopResponse::operator=(const HopResponse& other151) {
+  id = other151.id;
+  verdict = other151.verdict;
+  reason = other151.reason;
+  status = other151.status;
+  fields = other151.fields;
+  body = other151.body;
+  outstanding = other151.outstanding;
+  retryAfterMs = other151.retryAfterMs;
+  __isset = other151.__isset;
   return *this;
 }
-HopResponse& HopResponse::operator=(HopResponse&& other148) noexcept {
-  id = other148.id;
-  verdict = other148.verdict;
-  reason = other148.reason;
-  status = other148.status;
-  fields = std::move(other148.fields);
-  body = std::move(other148.body);
-  outstanding = other148.outstanding;
-  retryAfterMs = other148.retryAfterMs;
-  __isset = other148.__isset;
+HopResponse& HopResponse::operator=(HopResponse&& other152) noexcept {
+  id = other152.id;
+  verdict = other152.verdict;
+  reason = other152.reason;
+  status = other152.status;
+  fields = std::move(other152.fields);
+  body = std::move(other152.body);
+  outstanding = other152.outstanding;
+  retryAfterMs = other152.retryAfterMs;
+  __isset = other152.__isset;
   return *this;
 }
 void HopResponse::printTo(std::ostream& out) const {
@@ -3932,22 +4103,22 @@
   swap(a.__isset, b.__isset);
 }
 
-HopCancel::HopCancel(const HopCancel& other149) noexcept {
-  id = other149.id;
-  __isset = other149.__isset;
+HopCancel::HopCancel(const HopCancel& other153) noexcept {
+  id = other153.id;
+  __isset = other153.__isset;
 }
-HopCancel::HopCancel(HopCancel&& other150) noexcept {
-  id = other150.id;
-  __isset = other150.__isset;
+HopCancel::HopCancel(HopCancel&& other154) noexcept {
+  id = other154.id;
+  __isset = other154.__isset;
 }
-HopCancel& HopCancel::operator=(const HopCancel& other151) noexcept {
-  id = other151.id;
-  __isset = other151.__isset;
+HopCancel& HopCancel::operator=(const HopCancel& other155) noexcept {
+  id = other155.id;
+  __isset = other155.__isset;
   return *this;
 }
-HopCancel& HopCancel::operator=(HopCancel&& other152) noexcept {
-  id = other152.id;
-  __isset = other152.__isset;
+HopCancel& HopCancel::operator=(HopCancel&& other156) noexcept {
+  id = other156.id;
+  __isset = other156.__isset;
   return *this;
 }
 void HopCancel::printTo(std::ostream& out) const {
@@ -4019,9 +4190,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast153;
-          xfer += iprot->readI32(ecast153);
-          this->state = static_cast<HostState::type>(ecast153);
+          int32_t ecast157;
+          xfer += iprot->readI32(ecast157);
+          this->state = static_cast<HostState::type>(ecast157);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4069,30 +4240,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HopBeat::HopBeat(const HopBeat& other154) noexcept {
-  sequence = other154.sequence;
-  outstanding = other154.outstanding;
-  state = other154.state;
-  __isset = other154.__isset;
+HopBeat::HopBeat(const HopBeat& other158) noexcept {
+  sequence = other158.sequence;
+  outstanding = other158.outstanding;
+  state = other158.state;
+  __isset = other158.__isset;
 }
-HopBeat::HopBeat(HopBeat&& other155) noexcept {
-  sequence = other155.sequence;
-  outstanding = other155.outstanding;
-  state = other155.state;
-  __isset = other155.__isset;
+HopBeat::HopBeat(HopBeat&& other159) noexcept {
+  sequence = other159.sequence;
+  outstanding = other159.outstanding;
+  state = other159.state;
+  __isset = other159.__isset;
 }
-HopBeat& HopBeat::operator=(const HopBeat& other156) noexcept {
-  sequence = other156.sequence;
-  outstanding = other156.outstanding;
-  state = other156.state;
-  __isset = other156.__isset;
+HopBeat& HopBeat::operator=(const HopBeat& other160) noexcept {
+  sequence = other160.sequence;
+  outstanding = other160.outstanding;
+  state = other160.state;
+  __isset = other160.__isset;
   return *this;
 }
-HopBeat& HopBeat::operator=(HopBeat&& other157) noexcept {
-  sequence = other157.sequence;
-  outstanding = other157.outstanding;
-  state = other157.state;
-  __isset = other157.__isset;
+HopBeat& HopBeat::operator=(HopBeat&& other161) noexcept {
+  sequence = other161.sequence;
+  outstanding = other161.outstanding;
+  state = other161.state;
+  __isset = other161.__isset;
   return *this;
 }
 void HopBeat::printTo(std::ostream& out) const {
@@ -4239,34 +4410,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HopFrame::HopFrame(const HopFrame& other158) {
-  request = other158.request;
-  response = other158.response;
-  cancel = other158.cancel;
-  beat = other158.beat;
-  __isset = other158.__isset;
-}
-HopFrame::HopFrame(HopFrame&& other159) noexcept {
-  request = std::move(other159.request);
-  response = std::move(other159.response);
-  cancel = std::move(other159.cancel);
-  beat = std::move(other159.beat);
-  __isset = other159.__isset;
-}
-HopFrame& HopFrame::operator=(const HopFrame& other160) {
-  request = other160.request;
-  response = other160.response;
-  cancel = other160.cancel;
-  beat = other160.beat;
-  __isset = other160.__isset;
+HopFrame::HopFrame(const HopFrame& other162) {
+  request = other162.request;
+  response = other162.response;
+  cancel = other162.cancel;
+  beat = other162.beat;
+  __isset = other162.__isset;
+}
+HopFrame::HopFrame(HopFrame&& other163) noexcept {
+  request = std::move(other163.request);
+  response = std::move(other163.response);
+  cancel = std::move(other163.cancel);
+  beat = std::move(other163.beat);
+  __isset = other163.__isset;
+}
+HopFrame& HopFrame::operator=(const HopFrame& other164) {
+  request = other164.request;
+  response = other164.response;
+  cancel = other164.cancel;
+  beat = other164.beat;
+  __isset = other164.__isset;
   return *this;
 }
-HopFrame& HopFrame::operator=(HopFrame&& other161) noexcept {
-  request = std::move(other161.request);
-  response = std::move(other161.response);
-  cancel = std::move(other161.cancel);
-  beat = std::move(other161.beat);
-  __isset = other161.__isset;
+HopFrame& HopFrame::operator=(HopFrame&& other165) noexcept {
+  request = std::move(other165.request);
+  response = std::move(other165.response);
+  cancel = std::move(other165.cancel);
+  beat = std::move(other165.beat);
+  __isset = other165.__isset;
   return *this;
 }
 void HopFrame::printTo(std::ostream& out) const {
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -86,6 +86,8 @@
 
 class Pull;
 
+class PullRefusal;
+
 class Bucket;
 
 class TableRequest;
@@ -477,10 +479,11 @@
 std::ostream& operator<<(std::ostream& out, const Ack& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset() : version(false), tableHash(false), reply(false) {}
+  _Digest__isset() : version(false), tableHash(false), reply(false), nonce(false) {}
   bool version :1;
   bool tableHash :1;
   bool reply :1;
+  bool nonce :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
@@ -493,13 +496,15 @@
   Digest() noexcept
          : version(0),
            tableHash(0),
-           reply(0) {
+           reply(0),
+           nonce(0) {
   }
 
   virtual ~Digest() noexcept;
   int64_t version;
   int64_t tableHash;
   bool reply;
+  int64_t nonce;
 
   _Digest__isset __isset;
 
@@ -509,6 +514,8 @@
 
   void __set_reply(const bool val);
 
+  void __set_nonce(const int64_t val);
+
   bool operator == (const Digest & rhs) const
   {
     if (!(version == rhs.version))
@@ -517,6 +524,10 @@
       return false;
     if (!(reply == rhs.reply))
       return false;
+    if (__isset.nonce != rhs.__isset.nonce)
+      return false;
+    else if (__isset.nonce && !(nonce == rhs.nonce))
+      return false;
     return true;
   }
   bool operator != (const Digest &rhs) const {
@@ -674,10 +685,11 @@
 std::ostream& operator<<(std::ostream& out, const Content& obj);
 
 typedef struct _Push__isset {
-  _Push__isset() : content(false), intervalBegin(false), intervalEnd(false) {}
+  _Push__isset() : content(false), intervalBegin(false), intervalEnd(false), ackWanted(false) {}
   bool content :1;
   bool intervalBegin :1;
   bool intervalEnd :1;
+  bool ackWanted :1;
 } _Push__isset;
 
 class Push : public virtual ::apache::thrift::TBase {
@@ -689,13 +701,15 @@
   Push& operator=(Push&&) noexcept;
   Push() noexcept
        : intervalBegin(0),
-         intervalEnd(0) {
+         intervalEnd(0),
+         ackWanted(0) {
   }
 
   virtual ~Push() noexcept;
   Content content;
   int64_t intervalBegin;
   int64_t intervalEnd;
+  bool ackWanted;
 
   _Push__isset __isset;
 
@@ -705,6 +719,8 @@
 
   void __set_intervalEnd(const int64_t val);
 
+  void __set_ackWanted(const bool val);
+
   bool operator == (const Push & rhs) const
   {
     if (!(content == rhs.content))
@@ -713,6 +729,8 @@
       return false;
     if (!(intervalEnd == rhs.intervalEnd))
       return false;
+    if (!(ackWanted == rhs.ackWanted))
+      return false;
     return true;
   }
   bool operator != (const Push &rhs) const {
@@ -828,6 +846,51 @@
 
 std::ostream& operator<<(std::ostream& out, const Pull& obj);
 
+typedef struct _PullRefusal__isset {
+  _PullRefusal__isset() : retryAfterMs(false) {}
+  bool retryAfterMs :1;
+} _PullRefusal__isset;
+
+class PullRefusal : public virtual ::apache::thrift::TBase {
+ public:
+
+  PullRefusal(const PullRefusal&) noexcept;
+  PullRefusal(PullRefusal&&) noexcept;
+  PullRefusal& operator=(const PullRefusal&) noexcept;
+  PullRefusal& operator=(PullRefusal&&) noexcept;
+  PullRefusal() noexcept
+              : retryAfterMs(0) {
+  }
+
+  virtual ~PullRefusal() noexcept;
+  int32_t retryAfterMs;
+
+  _PullRefusal__isset __isset;
+
+  void __set_retryAfterMs(const int32_t val);
+
+  bool operator == (const PullRefusal & rhs) const
+  {
+    if (!(retryAfterMs == rhs.retryAfterMs))
+      return false;
+    return true;
+  }
+  bool operator != (const PullRefusal &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PullRefusal & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PullRefusal &a, PullRefusal &b);
+
+std::ostream& operator<<(std::ostream& out, const PullRefusal& obj);
+
 typedef struct _Bucket__isset {
   _Bucket__isset() : index(false), hash(false) {}
   bool index :1;
@@ -1078,7 +1141,7 @@
 std::ostream& operator<<(std::ostream& out, const JoinReply& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : header(false), ping(false), pingReq(false), ack(false), digest(false), push(false), pushAck(false), pull(false), content(false), tableRequest(false), tableReply(false), join(false), joinReply(false), updates(false) {}
+  _Envelope__isset() : header(false), ping(false), pingReq(false), ack(false), digest(false), push(false), pushAck(false), pull(false), content(false), tableRequest(false), tableReply(false), join(false), joinReply(false), pullRefusal(false), updates(false) {}
   bool header :1;
   bool ping :1;
   bool pingReq :1;
@@ -1092,6 +1155,7 @@
   bool tableReply :1;
   bool join :1;
   bool joinReply :1;
+  bool pullRefusal :1;
   bool updates :1;
 } _Envelope__isset;
 
@@ -1119,6 +1183,7 @@
   TableReply tableReply;
   Join join;
   JoinReply joinReply;
+  PullRefusal pullRefusal;
   std::vector<HostRecord>  updates;
 
   _Envelope__isset __isset;
@@ -1149,6 +1214,8 @@
 
   void __set_joinReply(const JoinReply& val);
 
+  void __set_pullRefusal(const PullRefusal& val);
+
   void __set_updates(const std::vector<HostRecord> & val);
 
   bool operator == (const Envelope & rhs) const
@@ -1203,6 +1270,10 @@
       return false;
     else if (__isset.joinReply && !(joinReply == rhs.joinReply))
       return false;
+    if (__isset.pullRefusal != rhs.__isset.pullRefusal)
+      return false;
+    else if (__isset.pullRefusal && !(pullRefusal == rhs.pullRefusal))
+      return false;
     if (!(updates == rhs.updates))
       return false;
     return true;
--- /dev/null
+++ b/src/core/headreader.cpp
@@ -0,0 +1,301 @@
+#include "headreader_p.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr TimeMs kNever = std::numeric_limits<TimeMs>::max();
+
+} // namespace
+
+HeadReader::HeadReader(const SpreadSettings &settings, PlatformStore &platform, RandomSource &random,
+                       MetricsSink &metrics, EventLog &log, HeadReaderListener &listener)
+    : m_settings(settings)
+    , m_platform(platform)
+    , m_random(random)
+    , m_metrics(metrics)
+    , m_log(log)
+    , m_listener(listener)
+    , m_token(std::make_shared<char>())
+{
+}
+
+void HeadReader::restart(TimeMs now, TimeMs windowMs)
+{
+    m_now = now;
+    m_token = std::make_shared<char>();
+    for (Call *call : {&m_read, &m_watch, &m_fetch}) {
+        call->active = false;
+        call->failures = 0;
+    }
+    m_watch.notBefore = now;
+    m_fetch.notBefore = std::max(m_fetch.notBefore, now);
+    m_readNeeded = true;
+    m_objectVersion.reset();
+    const auto delay = static_cast<TimeMs>(m_random.below(static_cast<std::uint64_t>(windowMs) + 1));
+    m_read.notBefore = std::max(m_throttledUntil, now + delay);
+}
+
+void HeadReader::setWatching(TimeMs now, bool watching)
+{
+    if (watching == m_watching) {
+        return;
+    }
+    m_watching = watching;
+    m_log.event(watching ? "watch-start" : "watch-stop", "");
+    if (watching) {
+        // The delay of a first read after a restart stays: it protects the platform from a returning fleet.
+        if (!m_readNeeded) {
+            const auto jitter = static_cast<std::uint64_t>(m_settings.jitterMs) + 1;
+            m_read.notBefore = std::max(m_throttledUntil, now + static_cast<TimeMs>(m_random.below(jitter)));
+        }
+        m_objectVersion.reset();
+    } else {
+        ++m_watch.id;
+        m_watch.active = false;
+    }
+}
+
+void HeadReader::want(Version version, const std::string &digest, TimeMs at)
+{
+    if (m_wanted == version && m_wantedDigest == digest) {
+        if (m_fetch.failures == 0 && !m_fetch.active) {
+            m_fetch.notBefore = std::min(m_fetch.notBefore, std::max(at, m_throttledUntil));
+        }
+        return;
+    }
+    m_wanted = version;
+    m_wantedDigest = digest;
+    m_fetch.active = false;
+    m_fetch.failures = 0;
+    m_fetch.notBefore = std::max(at, m_throttledUntil);
+}
+
+void HeadReader::cancelWant()
+{
+    m_wanted = 0;
+    m_wantedDigest.clear();
+}
+
+void HeadReader::refetch()
+{
+    ++m_fetch.failures;
+    m_fetch.notBefore = m_now + std::max(backoff(m_fetch.failures), m_windowMs);
+}
+
+void HeadReader::tick(TimeMs now, TimeMs windowMs)
+{
+    m_now = now;
+    m_windowMs = windowMs;
+    expire(m_read, "read");
+    expire(m_fetch, "fetch");
+    if (m_watch.active && now >= m_watch.deadline) {
+        expire(m_watch, "watch");
+        m_read.notBefore = std::min(m_read.notBefore, std::max(now, m_throttledUntil));
+    }
+    if ((m_readNeeded || m_watching) && !m_read.active && now >= m_read.notBefore) {
+        startRead();
+    }
+    if (m_watching && m_objectVersion && !m_watch.active && now >= m_watch.notBefore) {
+        startWatch();
+    }
+    if (m_wanted != 0 && !m_fetch.active && now >= m_fetch.notBefore) {
+        startFetch();
+    }
+}
+
+void HeadReader::startRead()
+{
+    begin(m_read, "read", m_settings.readTimeoutMs);
+    const std::int64_t id = m_read.id;
+    m_platform.get(kHeadKind, kHeadName, guarded([this, id](const StoreReply &reply) { onReadReply(id, reply); }));
+}
+
+void HeadReader::startWatch()
+{
+    begin(m_watch, "watch", m_settings.watchTimeoutMs + m_settings.watchLateMs);
+    const std::int64_t id = m_watch.id;
+    m_platform.watch(kHeadKind, kHeadName, *m_objectVersion, m_settings.watchTimeoutMs,
+                     guarded([this, id](const StoreReply &reply) { onWatchReply(id, reply); }));
+}
+
+void HeadReader::startFetch()
+{
+    begin(m_fetch, "fetch", m_settings.readTimeoutMs);
+    const std::int64_t id = m_fetch.id;
+    m_platform.get(kManifestKind, m_wantedDigest, guarded([this, id, digest = m_wantedDigest](const StoreReply &reply) {
+                       onFetchReply(id, digest, reply);
+                   }));
+}
+
+void HeadReader::onReadReply(std::int64_t id, const StoreReply &reply)
+{
+    const bool current = m_read.active && m_read.id == id;
+    const bool missing = reply.status == StoreStatus::NotFound;
+    if (!missing && reply.status != StoreStatus::Ok) {
+        if (current) {
+            fail(m_read, "read", reply);
+        }
+        return;
+    }
+    answered(m_read);
+    m_read.active = m_read.active && !current;
+    m_readNeeded = false;
+    // The spread of the checks keeps the watchers of all zones from reading in step.
+    const TimeMs period = std::max(m_settings.headCheckMs, m_windowMs);
+    const auto jitter = static_cast<std::uint64_t>(period / 4) + 1;
+    m_read.notBefore = m_now + period - static_cast<TimeMs>(m_random.below(jitter));
+    if (missing) {
+        m_objectVersion = m_objectVersion.value_or(0);
+        m_listener.onHead(Head{});
+        return;
+    }
+    takeHead(reply);
+}
+
+void HeadReader::onWatchReply(std::int64_t id, const StoreReply &reply)
+{
+    const bool current = m_watch.active && m_watch.id == id;
+    if (reply.status == StoreStatus::Ok) {
+        takeHead(reply);
+    }
+    if (!current) {
+        return;
+    }
+    m_watch.active = false;
+    switch (reply.status) {
+    case StoreStatus::Ok:
+    case StoreStatus::Unchanged:
+        answered(m_watch);
+        m_watch.notBefore = m_now;
+        break;
+    case StoreStatus::Expired:
+    case StoreStatus::NotFound:
+        answered(m_watch);
+        m_metrics.count("spread_watch_expired", storeStatusName(reply.status), 1);
+        m_objectVersion.reset();
+        // A missing object is polled at the period of the checks, an expired history is read again at once.
+        if (reply.status == StoreStatus::Expired) {
+            m_read.notBefore = std::min(m_read.notBefore, std::max(m_now, m_throttledUntil));
+        }
+        break;
+    default:
+        fail(m_watch, "watch", reply);
+        m_read.notBefore = std::min(m_read.notBefore, std::max(m_watch.notBefore, m_throttledUntil));
+        break;
+    }
+}
+
+void HeadReader::onFetchReply(std::int64_t id, const std::string &digest, const StoreReply &reply)
+{
+    const bool current = m_fetch.active && m_fetch.id == id;
+    if (reply.status != StoreStatus::Ok || reply.objects.empty()) {
+        if (current) {
+            fail(m_fetch, "fetch", reply);
+        }
+        return;
+    }
+    answered(m_fetch);
+    m_fetch.active = m_fetch.active && !current;
+    if (m_wanted == 0 || digest != m_wantedDigest) {
+        return;
+    }
+    // A usable content cancels the wish, an unusable one calls refetch().
+    m_fetch.notBefore = kNever;
+    m_listener.onContent(m_wanted, digest, reply.objects.front().value);
+}
+
+bool HeadReader::takeHead(const StoreReply &reply)
+{
+    LastReason error;
+    const auto head = reply.objects.empty() ? std::nullopt : Head::parse(reply.objects.front().value, error);
+    if (!head) {
+        m_metrics.count("spread_rejected", "head-malformed", 1);
+        m_log.event("head-malformed", error.text());
+        return false;
+    }
+    const std::int64_t version = reply.objects.front().version;
+    m_objectVersion = std::max(m_objectVersion.value_or(0), version);
+    m_listener.onHead(*head);
+    return true;
+}
+
+void HeadReader::begin(Call &call, std::string_view name, TimeMs timeoutMs)
+{
+    ++call.id;
+    call.active = true;
+    call.deadline = m_now + timeoutMs;
+    m_metrics.count("spread_platform_calls", name, 1);
+}
+
+void HeadReader::expire(Call &call, std::string_view name)
+{
+    if (!call.active || m_now < call.deadline) {
+        return;
+    }
+    fail(call, name, {StoreStatus::Unavailable, {}, 0, "no answer in time"});
+}
+
+void HeadReader::fail(Call &call, std::string_view name, const StoreReply &reply)
+{
+    call.active = false;
+    ++call.failures;
+    m_metrics.count("spread_platform_failures", storeStatusName(reply.status), 1);
+    TimeMs delay = std::max(backoff(call.failures), m_windowMs);
+    if (reply.status == StoreStatus::Throttled) {
+        // A throttled caller adds its jitter to the time asked for: all callers were told the same.
+        m_throttledUntil = std::max(m_throttledUntil, m_now + std::max<TimeMs>(reply.retryAfterMs, 0));
+        delay += std::max<TimeMs>(reply.retryAfterMs, 0);
+        for (Call *other : {&m_read, &m_watch, &m_fetch}) {
+            other->notBefore = std::max(other->notBefore, m_throttledUntil);
+        }
+    } else {
+        setReachable(false);
+    }
+    call.notBefore = m_now + delay;
+    if (call.failures == 1) {
+        m_log.event("platform-failure",
+                    std::string(name) + " status=" + std::string(storeStatusName(reply.status))
+                        + " reason=" + reply.reason);
+    }
+    // A throttling platform is reachable, so it does not open the way to the peer floor.
+    if (reply.status != StoreStatus::Throttled) {
+        m_listener.onPlatformFailure();
+    }
+}
+
+void HeadReader::answered(Call &call)
+{
+    call.failures = 0;
+    setReachable(true);
+}
+
+void HeadReader::setReachable(bool reachable)
+{
+    if (reachable != m_reachable) {
+        m_log.event(reachable ? "platform-reachable" : "platform-unreachable", "");
+    }
+    m_reachable = reachable;
+}
+
+TimeMs HeadReader::backoff(int failures)
+{
+    const int shift = std::clamp(failures - 1, 0, 16);
+    const TimeMs bound = std::min(m_settings.backoffMinMs << shift, m_settings.backoffMaxMs);
+    // Half of the time is random, so that a group that failed together does not return together.
+    return bound - static_cast<TimeMs>(m_random.below(static_cast<std::uint64_t>(bound / 2) + 1));
+}
+
+StoreCallback HeadReader::guarded(std::function<void(const StoreReply &)> handler)
+{
+    return [token = std::weak_ptr<char>(m_token), handler = std::move(handler)](const StoreReply &reply) {
+        if (!token.expired()) {
+            handler(reply);
+        }
+    };
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/peerfloor.cpp
@@ -0,0 +1,61 @@
+#include "peerfloor_p.h"
+
+#include <algorithm>
+
+namespace fulmarledge {
+
+namespace {
+
+/// Distinct members whose answers make a floor.
+constexpr int kFloorMembers = 3;
+
+} // namespace
+
+void PeerFloor::restart(std::int64_t nonce)
+{
+    m_nonce = nonce;
+    m_answers.clear();
+    m_settledAt.reset();
+}
+
+void PeerFloor::onAnswer(const std::string &host, Version version)
+{
+    Version &known = m_answers[host];
+    known = std::max(known, version);
+}
+
+bool PeerFloor::isSettled(const MemberView &members) const
+{
+    // A member without a floor of its own says nothing about the newest version, for instance after a restart of the
+    // whole fleet.
+    const auto running
+        = std::count_if(m_answers.begin(), m_answers.end(), [](const auto &answer) { return answer.second > 0; });
+    if (running == 0 || running >= kFloorMembers) {
+        return running > 0;
+    }
+    for (const std::string &zone : members.zones()) {
+        for (const Member &member : members.zoneMembers(zone)) {
+            if (member.host != members.self().host && !m_answers.contains(member.host)) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+std::optional<Version> PeerFloor::result(TimeMs now, TimeMs periodMs, const MemberView &members)
+{
+    if (!m_settledAt && isSettled(members)) {
+        m_settledAt = now;
+    }
+    if (!m_settledAt || now - *m_settledAt < periodMs) {
+        return std::nullopt;
+    }
+    Version floor = 0;
+    for (const auto &[host, version] : m_answers) {
+        floor = std::max(floor, version);
+    }
+    return floor;
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/spreaddigest.cpp
@@ -0,0 +1,147 @@
+#include "spread_p.h"
+
+namespace fulmarledge {
+
+namespace {
+
+SocketAddress addressOf(const wire::Header &from)
+{
+    return {from.address, static_cast<std::uint16_t>(from.controlPort)};
+}
+
+} // namespace
+
+void Spread::Private::noteVersion(const wire::Header &from, Version version)
+{
+    if (version > m_held.newestVersion()) {
+        m_pulls.note(m_now, {from.host, addressOf(from), version, m_now});
+    }
+}
+
+wire::Digest Spread::Private::ownDigest() const
+{
+    wire::Digest digest;
+    digest.version = m_held.newestVersion();
+    digest.tableHash = static_cast<std::int64_t>(m_members.tableHash());
+    return digest;
+}
+
+void Spread::Private::sendDigest(const Member &to, std::optional<std::int64_t> nonce, bool reply)
+{
+    wire::Envelope message;
+    wire::Digest digest = ownDigest();
+    digest.reply = reply;
+    if (nonce) {
+        digest.__set_nonce(*nonce);
+    }
+    message.__set_digest(digest);
+    m_metrics.count("spread_digests", "", 1);
+    m_peers.send(to.control, message);
+}
+
+void Spread::Private::tickDigest()
+{
+    if (m_now < m_nextDigestAt) {
+        return;
+    }
+    // Periods differ by a tenth, so that nodes which started together do not stay in step.
+    const TimeMs period = m_settings.digestMs;
+    m_nextDigestAt = m_now + period - period / 10 + static_cast<TimeMs>(random(period / 5));
+    const bool other = ++m_digestCount % m_settings.otherZoneEvery == 0;
+    const Member *member = other ? randomMember(false, true) : randomMember(true, false);
+    if (member == nullptr) {
+        member = randomMember(true, true);
+    }
+    if (member != nullptr) {
+        sendDigest(*member, std::nullopt, false);
+    }
+}
+
+void Spread::Private::onDigest(const wire::Header &from, const wire::Digest &digest)
+{
+    if (digest.__isset.nonce) {
+        if (!digest.reply) {
+            wire::Envelope message;
+            wire::Digest own = ownDigest();
+            own.version = m_floor ? m_held.newestVersion() : 0;
+            own.reply = true;
+            own.__set_nonce(digest.nonce);
+            message.__set_digest(own);
+            m_peers.send(addressOf(from), message);
+            // The asker pulls what it lacks: three answers with a manifest would be two too many.
+            return;
+        }
+        if (digest.nonce == m_peerFloor.nonce()) {
+            m_peerFloor.onAnswer(from.host, digest.version);
+        }
+    }
+    noteVersion(from, digest.version);
+    if (digest.version < m_held.newestVersion() && m_now - m_heldSince >= m_settings.settleMs) {
+        answer(from, digest.version);
+    }
+}
+
+void Spread::Private::onPull(const wire::Header &from, const wire::Pull &pull)
+{
+    if (pull.haveVersion >= m_held.newestVersion()) {
+        m_metrics.count("spread_stale_messages", "pull", 1);
+        return;
+    }
+    answer(from, pull.full ? 0 : pull.haveVersion);
+}
+
+void Spread::Private::answer(const wire::Header &from, Version base)
+{
+    wire::Envelope message;
+    const wire::Content content = m_held.contentFor(base);
+    const auto retryAfter = content.__isset.full ? m_fullAnswers.refuse(m_now) : std::nullopt;
+    if (retryAfter) {
+        wire::PullRefusal refusal;
+        refusal.retryAfterMs = static_cast<std::int32_t>(*retryAfter);
+        message.__set_pullRefusal(refusal);
+        m_metrics.count("spread_pulls_refused", "", 1);
+    } else {
+        message.__set_content(content);
+        m_metrics.count("spread_answers", content.__isset.full ? "full" : "delta", 1);
+    }
+    m_peers.send(addressOf(from), message);
+}
+
+void Spread::Private::onContentMessage(const wire::Header &from, const wire::Content &content)
+{
+    m_pulls.onAnswer();
+    if (content.version <= m_held.newestVersion()) {
+        m_metrics.count("spread_stale_messages", "content", 1);
+        if (content.version == m_held.newestVersion()) {
+            confirm();
+        }
+        return;
+    }
+    const Outcome outcome = accept(content, sourceOf(from, Source::ZonePeer));
+    if (outcome == Outcome::Held) {
+        return;
+    }
+    if (content.__isset.full) {
+        m_pulls.drop(from.host);
+        return;
+    }
+    // The delta did not fit or gave another digest, so the full manifest is asked for.
+    m_pulls.pullNow(m_now, {from.host, addressOf(from), content.version, m_now}, true);
+}
+
+void Spread::Private::tickPull()
+{
+    const auto source = m_pulls.next(m_now, m_held.newestVersion());
+    if (!source) {
+        return;
+    }
+    wire::Envelope message;
+    wire::Pull pull;
+    pull.haveVersion = m_held.newestVersion();
+    pull.full = m_pulls.isFull();
+    message.__set_pull(pull);
+    m_metrics.count("spread_pulls", pull.full ? "full" : "delta", 1);
+    m_peers.send(source->address, message);
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/spreadfloor.cpp
@@ -0,0 +1,161 @@
+#include "spread_p.h"
+
+#include <algorithm>
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr TimeMs kRankPeriodMs = 250;
+constexpr int kFloorAsks = 3;
+/// Time that a node which is not a watcher waits for its peers before it fetches from the platform itself.
+constexpr TimeMs kFetchFallbackMs = 2000;
+
+} // namespace
+
+TimeMs Spread::Private::windowMs() const
+{
+    if (m_settings.way != SpreadWay::Direct && m_rank < m_settings.watchersPerZone && m_members.liveCount() > 1
+        && m_floor) {
+        return 0;
+    }
+    const auto fleet = static_cast<TimeMs>(std::max(m_members.liveCount(), m_settings.expectedFleet));
+    return fleet * 1000 / std::max(m_settings.readsPerSecond, 1);
+}
+
+void Spread::Private::resetFloor()
+{
+    m_floor.reset();
+    m_platformFailed = false;
+    m_peerFloor.restart(static_cast<std::int64_t>(m_random.below(std::uint64_t{1} << 62U)) + 1);
+    m_nextFloorAskAt = m_now;
+    m_reader.restart(m_now, windowMs());
+}
+
+void Spread::Private::setFloor(Version floor, std::string_view from)
+{
+    m_floor = floor;
+    m_floorFromHead = from == "head";
+    m_log.event("version-floor", "floor=" + std::to_string(floor) + " from=" + std::string(from));
+    tryActivate();
+}
+
+void Spread::Private::tickRole()
+{
+    if (m_now < m_nextRankAt) {
+        return;
+    }
+    m_nextRankAt = m_now + kRankPeriodMs;
+    const Member &self = m_members.self();
+    m_rank = watcherRank(zoneMembers(), self.zone, self.host, m_settings.watchersPerZone);
+    m_reader.setWatching(m_now, m_settings.way == SpreadWay::Direct || m_rank < m_settings.watchersPerZone);
+    if (m_reader.wanted() != 0 && m_rank < m_settings.watchersPerZone) {
+        m_reader.want(m_reader.wanted(), headTarget().digest, m_now + fetchDelay());
+    }
+}
+
+TimeMs Spread::Private::fetchDelay()
+{
+    // A node that knows no member may be one of a whole fleet that starts at once.
+    if (m_members.liveCount() <= 1) {
+        return static_cast<TimeMs>(random(windowMs()));
+    }
+    if (m_settings.way == SpreadWay::Direct) {
+        return static_cast<TimeMs>(random(m_settings.jitterMs));
+    }
+    if (m_rank < m_settings.watchersPerZone) {
+        return m_rank * m_settings.rankDelayMs;
+    }
+    return kFetchFallbackMs + static_cast<TimeMs>(random(windowMs()));
+}
+
+Acceptance Spread::Private::headTarget() const
+{
+    // A content that failed its checks was never run by any node, so the acceptance before it is in force.
+    for (auto entry = m_head.recent.rbegin(); entry != m_head.recent.rend(); ++entry) {
+        if (!m_badDigests.contains(entry->digest)) {
+            return *entry;
+        }
+    }
+    return {};
+}
+
+void Spread::Private::onHead(const Head &head)
+{
+    if (head.version() >= m_head.version()) {
+        if (head.version() > m_head.version()) {
+            m_headSeenAt = m_now;
+        }
+        m_head = head;
+    }
+    if (!m_floor) {
+        setFloor(headTarget().version, "head");
+    }
+    followHead();
+}
+
+void Spread::Private::followHead()
+{
+    const Acceptance target = headTarget();
+    if (target.version <= m_held.newestVersion()) {
+        return;
+    }
+    if (const HeldManifest *same = m_held.findDigest(target.digest)) {
+        hold({target.version, target.digest, same->manifest}, Source::Platform);
+        return;
+    }
+    if (m_reader.wanted() != target.version) {
+        m_reader.want(target.version, target.digest, m_now + fetchDelay());
+    }
+}
+
+void Spread::Private::onContent(Version version, const std::string &digest, const std::string &text)
+{
+    if (version <= m_held.newestVersion()) {
+        m_reader.cancelWant();
+        return;
+    }
+    wire::Content content;
+    content.version = version;
+    content.digest = digest;
+    content.__set_full(text);
+    if (accept(content, Source::Platform) == Outcome::Held) {
+        return;
+    }
+    if (!m_badDigests.contains(digest)) {
+        m_reader.refetch();
+        return;
+    }
+    m_reader.cancelWant();
+    if (m_floor && m_floorFromHead && !isReady()) {
+        setFloor(headTarget().version, "head");
+    }
+    followHead();
+}
+
+void Spread::Private::onPlatformFailure()
+{
+    m_platformFailed = true;
+}
+
+void Spread::Private::tickPeerFloor()
+{
+    if (m_floor || m_settings.floor != VersionFloor::Peers || !m_platformFailed) {
+        return;
+    }
+    if (const auto floor = m_peerFloor.result(m_now, m_settings.digestMs, m_members)) {
+        setFloor(std::max(*floor, m_running.version), "peers");
+        return;
+    }
+    if (m_now < m_nextFloorAskAt) {
+        return;
+    }
+    m_nextFloorAskAt = m_now + m_settings.digestMs;
+    for (int i = 0; i < kFloorAsks; ++i) {
+        if (const Member *member = randomMember(true, true)) {
+            sendDigest(*member, m_peerFloor.nonce(), false);
+        }
+    }
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/core/spreadpush.cpp
@@ -0,0 +1,178 @@
+#include "spread_p.h"
+
+#include <algorithm>
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr std::size_t kMaxDuties = 16;
+
+} // namespace
+
+void Spread::Private::onPush(const wire::Header &from, const wire::Push &push)
+{
+    const HashInterval interval{static_cast<std::uint64_t>(push.intervalBegin),
+                                static_cast<std::uint64_t>(push.intervalEnd)};
+    const Source source = sourceOf(from, Source::ZonePush);
+    const Version version = push.content.version;
+    if (version > m_held.newestVersion()) {
+        const Outcome outcome = accept(push.content, source);
+        if (outcome == Outcome::Rejected) {
+            m_pulls.pullNow(
+                m_now, {from.host, {from.address, static_cast<std::uint16_t>(from.controlPort)}, version, m_now}, true);
+            return;
+        }
+        if (outcome == Outcome::NoBase) {
+            if (source == Source::ZonePush && !interval.isEmpty() && m_duties.size() < kMaxDuties) {
+                m_duties.push_back({version, interval});
+            }
+            m_pulls.pullNow(m_now,
+                            {from.host, {from.address, static_cast<std::uint16_t>(from.controlPort)}, version, m_now},
+                            false);
+            return;
+        }
+    } else if (version < m_held.newestVersion()) {
+        m_metrics.count("spread_stale_messages", "push", 1);
+    }
+    if (push.ackWanted) {
+        wire::Envelope reply;
+        wire::PushAck ack;
+        ack.version = m_held.newestVersion();
+        reply.__set_pushAck(ack);
+        m_peers.send({from.address, static_cast<std::uint16_t>(from.controlPort)}, reply);
+    }
+    if (version != m_held.newestVersion()) {
+        return;
+    }
+    if (source == Source::ZonePush && !interval.isEmpty()) {
+        m_pushAt.reset();
+        relay(interval);
+    }
+    confirm();
+}
+
+void Spread::Private::planPush(Source source)
+{
+    const TimeMs delay = m_rank < m_settings.watchersPerZone
+        ? m_rank * m_settings.rankDelayMs
+        : m_settings.watchersPerZone * m_settings.rankDelayMs + static_cast<TimeMs>(random(m_settings.rankDelayMs));
+    const bool relays = m_settings.way == SpreadWay::Gossip && source != Source::Platform;
+    m_replicateAt = m_now;
+    if (relays) {
+        m_pushAt = m_now;
+    } else if (m_settings.way == SpreadWay::Direct) {
+        // Another node that reads the platform may hold the version by then, which saves the copy.
+        m_replicateAt = m_now + static_cast<TimeMs>(random(m_settings.replicateMs));
+    } else if (source == Source::Platform) {
+        // The rank delay counts from the new `head`: a watcher has used it up before it fetched the content.
+        m_pushAt = std::max(m_now, m_headSeenAt + delay);
+    } else if (source == Source::OtherZone) {
+        m_pushAt = m_now + delay;
+    }
+    if (m_pushAt) {
+        m_replicateAt = *m_pushAt + m_settings.replicateMs;
+    }
+    relayDuties();
+    tickPush();
+}
+
+void Spread::Private::tickPush()
+{
+    if (m_pushAt && m_now >= *m_pushAt) {
+        m_pushAt.reset();
+        pushOut();
+    }
+    if (m_confirmed || m_held.newestVersion() == 0) {
+        return;
+    }
+    if (m_members.liveCount() <= 1) {
+        tryActivate();
+    } else if (m_now >= m_replicateAt && !m_pushAt) {
+        replicate();
+    }
+}
+
+void Spread::Private::pushOut()
+{
+    if (m_settings.way == SpreadWay::Gossip) {
+        gossip();
+    } else if (m_settings.way == SpreadWay::Tree) {
+        if (zoneMembers().size() <= 1) {
+            m_replicateAt = m_now;
+        }
+        relay({});
+    }
+}
+
+void Spread::Private::relay(HashInterval interval)
+{
+    if (m_settings.way != SpreadWay::Tree || interval.isEmpty()) {
+        return;
+    }
+    const bool done = std::any_of(m_relayed.begin(), m_relayed.end(),
+                                  [&](const HashInterval &earlier) { return earlier.contains(interval); });
+    if (done) {
+        return;
+    }
+    m_relayed.push_back(interval);
+    for (const Delegation &part : divideInterval(zoneMembers(), m_members.self().hash, interval, m_settings.fanOut)) {
+        sendPush(*part.child, part.interval);
+    }
+}
+
+void Spread::Private::relayDuties()
+{
+    const Version newest = m_held.newestVersion();
+    std::vector<Duty> duties;
+    std::swap(duties, m_duties);
+    for (const Duty &duty : duties) {
+        if (duty.version > newest) {
+            m_duties.push_back(duty);
+        } else if (duty.version == newest) {
+            m_pushAt.reset();
+            relay(duty.interval);
+        }
+        // A duty for a passed version is dropped: the tree of the newer version reaches the same members.
+    }
+}
+
+void Spread::Private::gossip()
+{
+    std::vector<const Member *> chosen;
+    const auto count = static_cast<std::size_t>(std::max(m_settings.gossipFanOut, 1));
+    for (std::size_t attempt = 0; attempt < 3 * count && chosen.size() < count; ++attempt) {
+        const Member *member = randomMember(true, true);
+        if (member != nullptr && std::find(chosen.begin(), chosen.end(), member) == chosen.end()) {
+            chosen.push_back(member);
+        }
+    }
+    for (const Member *member : chosen) {
+        sendPush(*member, kNoInterval);
+    }
+}
+
+void Spread::Private::replicate()
+{
+    m_replicateAt = m_now + m_settings.replicateMs;
+    // Every second try goes anywhere, in case the zone is cut off.
+    const bool anywhere = zoneMembers().size() <= 1 || m_random.below(2) == 0;
+    if (const Member *member = randomMember(true, anywhere)) {
+        sendPush(*member, kNoInterval);
+    }
+}
+
+void Spread::Private::sendPush(const Member &to, HashInterval interval)
+{
+    wire::Push push;
+    push.content = m_held.contentForPush();
+    push.intervalBegin = static_cast<std::int64_t>(interval.begin);
+    push.intervalEnd = static_cast<std::int64_t>(interval.end);
+    push.ackWanted = !m_confirmed;
+    wire::Envelope message;
+    message.__set_push(push);
+    m_metrics.count("spread_pushes", "", 1);
+    m_peers.send(to.control, message);
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/tests/spreadfleet.h
@@ -0,0 +1,479 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <vector>
+
+#include "fakes.h"
+#include "fulmarledge/spread.h"
+
+namespace fulmarledge::test {
+
+/// Checks the rules of the spread from outside: what each host runs, over all its processes.
+class SpreadRules
+{
+public:
+    void accepted(Version version, const std::string &text)
+    {
+        m_accepted[version] = text;
+    }
+    /// @param replicated another host has held the version, or the host knows no other
+    void activated(const std::string &host, Version version, const std::string &digest, const Manifest &manifest,
+                   bool replicated)
+    {
+        Version &highest = m_highest[host];
+        if (version < highest) {
+            violations.push_back("fall: " + host + " ran " + std::to_string(highest) + ", now runs "
+                                 + std::to_string(version));
+        }
+        highest = std::max(highest, version);
+        const auto text = m_accepted.find(version);
+        if (text == m_accepted.end() || manifest.canonicalText() != text->second || digest != sha256Hex(text->second)) {
+            violations.push_back("content: " + host + " runs a version " + std::to_string(version)
+                                 + " that was not accepted");
+        }
+        if (!replicated) {
+            violations.push_back("replication: " + host + " alone runs " + std::to_string(version));
+        }
+    }
+    bool caught(const std::string &rule) const
+    {
+        return std::any_of(violations.begin(), violations.end(),
+                           [&](const std::string &text) { return text.rfind(rule, 0) == 0; });
+    }
+    std::vector<std::string> violations;
+
+private:
+    std::map<Version, std::string> m_accepted;
+    std::map<std::string, Version> m_highest;
+};
+
+struct NetworkFaults {
+    int lossPerMille = 0;
+    int doublePerMille = 0;
+    int latePerMille = 0; ///< messages that arrive up to 3 s late
+    int corruptPerMille = 0; ///< contents with a changed entry
+};
+
+struct FleetSettings {
+    int nodes = 12;
+    int zones = 3;
+    std::uint64_t seed = 1;
+    int services = 3;
+    int hosts = 2;
+    bool measureBytes = false;
+    SpreadSettings spread;
+};
+
+/// Spread cores joined by a network, a membership and a platform in virtual time.
+class SpreadFleet
+{
+public:
+    explicit SpreadFleet(const FleetSettings &settings)
+        : random(settings.seed)
+        , platform(queue, random)
+        , m_settings(settings)
+    {
+        m_settings.spread.expectedFleet = static_cast<std::size_t>(settings.nodes);
+        for (int z = 0; z < settings.zones; ++z) {
+            m_zones["zone-" + std::to_string(z)];
+        }
+        for (int i = 0; i < settings.nodes; ++i) {
+            m_nodes.push_back(std::make_unique<Node>(*this, i));
+        }
+    }
+
+    void startAll()
+    {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            start(i);
+        }
+    }
+    void start(std::size_t index)
+    {
+        Node &node = *m_nodes[index];
+        node.paused = false;
+        node.inbox.clear();
+        node.join();
+        node.spread = std::make_unique<Spread>(m_settings.spread, node, node, node, node.random, metrics, m_log, node);
+        node.spread->start(queue.now());
+    }
+    /// Ends the process. The membership removes it after 5 s, or at once when it is to be unknown.
+    void kill(std::size_t index)
+    {
+        Node &node = *m_nodes[index];
+        node.spread.reset();
+        const int life = ++node.life;
+        queue.after(5000, [&node, life] {
+            if (!node.spread && node.life == life) {
+                node.leave();
+            }
+        });
+    }
+    void pause(std::size_t index)
+    {
+        m_nodes[index]->paused = true;
+    }
+    void resume(std::size_t index)
+    {
+        Node &node = *m_nodes[index];
+        if (!node.spread || !node.paused) {
+            return;
+        }
+        node.paused = false;
+        node.spread->onClockJump(queue.now());
+        for (const auto &action : std::exchange(node.inbox, {})) {
+            action();
+        }
+    }
+    /// Cuts a zone off from the others. The membership follows after 5 s.
+    void part(const std::string &zone)
+    {
+        parted = zone;
+        queue.after(5000, [this, zone] { m_hiddenZone = parted == zone ? zone : ""; });
+    }
+    void heal()
+    {
+        parted.clear();
+        m_hiddenZone.clear();
+    }
+
+    /// Accepts the next version. @param text content, by default one that no version had before
+    Version accept(std::string text = "")
+    {
+        if (text.empty()) {
+            text = manifestText(m_settings.services, m_settings.hosts, static_cast<int>(m_head.version()) + 1);
+        }
+        platform.put(std::string(kManifestKind), sha256Hex(text), text);
+        return acceptDigest(sha256Hex(text), text);
+    }
+    Version acceptDigest(const std::string &digest, const std::string &text)
+    {
+        m_head = m_head.accept(digest, "s", queue.now());
+        rules.accepted(m_head.version(), text);
+        platform.put(std::string(kHeadKind), std::string(kHeadName), m_head.toText());
+        return m_head.version();
+    }
+
+    void run(TimeMs duration)
+    {
+        for (const TimeMs end = queue.now() + duration; queue.now() < end;) {
+            queue.runTo(queue.now() + 1);
+            for (std::size_t i = static_cast<std::size_t>(queue.now() % 50); i < m_nodes.size(); i += 50) {
+                Node &node = *m_nodes[i];
+                if (node.spread && !node.paused) {
+                    node.spread->onTick(queue.now());
+                    node.noteHeld();
+                }
+            }
+        }
+    }
+    /// Runs until every live node is ready with the newest version. Returns the time taken, or nothing after `limit`.
+    std::optional<TimeMs> runUntilAgreed(TimeMs limit)
+    {
+        const TimeMs begin = queue.now();
+        while (!agreed()) {
+            if (queue.now() - begin >= limit) {
+                return std::nullopt;
+            }
+            run(10);
+        }
+        return queue.now() - begin;
+    }
+    bool agreed() const
+    {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
+            return !node->spread
+                || (!node->paused && node->spread->isReady() && node->spread->version() == m_head.version());
+        });
+    }
+    Spread *spread(std::size_t index)
+    {
+        return m_nodes[index]->spread.get();
+    }
+    std::size_t size() const
+    {
+        return m_nodes.size();
+    }
+    bool isPaused(std::size_t index) const
+    {
+        return m_nodes[index]->paused;
+    }
+    void setAlone(bool alone)
+    {
+        m_alone = alone;
+    }
+    /// Index of the node that holds the watch of rank 0 in `zone`.
+    std::size_t firstWatcher(const std::string &zone) const
+    {
+        const auto &members = m_zones.at(zone);
+        const auto best = std::max_element(members.begin(), members.end(), [&](const Member &a, const Member &b) {
+            return rendezvousWeight(zone, a.host) < rendezvousWeight(zone, b.host);
+        });
+        return static_cast<std::size_t>(std::stoi(best->host.substr(5)));
+    }
+    /// Received contents per node since the last call of resetCopies().
+    std::vector<int> copies() const
+    {
+        std::vector<int> out;
+        for (const auto &node : m_nodes) {
+            out.push_back(node->copies);
+        }
+        return out;
+    }
+    void resetCopies()
+    {
+        for (const auto &node : m_nodes) {
+            node->copies = 0;
+        }
+        messages = 0;
+        contentBytes = 0;
+        bytes = 0;
+    }
+
+    EventQueue queue;
+    SeededRandom random;
+    FakePlatform platform;
+    NetworkFaults network;
+    SpreadRules rules;
+    CountingMetrics metrics;
+    std::string parted;
+    std::function<void(wire::Envelope &)> alterMessage; ///< test double: changes messages on their way
+    std::int64_t messages = 0;
+    std::int64_t bytes = 0;
+    std::int64_t contentBytes = 0; ///< of messages that carry a content
+
+private:
+    class Node : public MemberView, public PeerTransport, public PlatformStore, public SpreadListener
+    {
+    public:
+        Node(SpreadFleet &owner, int index)
+            : random(owner.random.below(~std::uint64_t{0}))
+            , fleet(owner)
+        {
+            member.host = "host-" + std::to_string(index);
+            member.zone = "zone-" + std::to_string(index % owner.m_settings.zones);
+            member.control = {"10.0.0.1", static_cast<std::uint16_t>(index)};
+            member.hash = memberHash(member.host);
+        }
+        void join()
+        {
+            auto &members = fleet.m_zones[member.zone];
+            const auto place
+                = std::lower_bound(members.begin(), members.end(), member.hash,
+                                   [](const Member &entry, std::uint64_t hash) { return entry.hash < hash; });
+            if (place == members.end() || place->hash != member.hash) {
+                members.insert(place, member);
+            }
+        }
+        void leave()
+        {
+            std::erase_if(fleet.m_zones[member.zone], [&](const Member &entry) { return entry.host == member.host; });
+        }
+        bool sees(const std::string &zone) const
+        {
+            const bool cut = !fleet.m_hiddenZone.empty() && zone != member.zone
+                && (fleet.m_hiddenZone == zone || fleet.m_hiddenZone == member.zone);
+            return !cut && (!fleet.m_alone || zone == member.zone);
+        }
+        std::span<const Member> zoneMembers(std::string_view zone) const override
+        {
+            if (fleet.m_alone) {
+                return {&member, zone == member.zone ? std::size_t{1} : 0};
+            }
+            const auto found = fleet.m_zones.find(std::string(zone));
+            return found == fleet.m_zones.end() || !sees(found->first) ? std::span<const Member>() : found->second;
+        }
+        std::span<const std::string> zones() const override
+        {
+            m_zoneNames.clear();
+            for (const auto &[name, members] : fleet.m_zones) {
+                if (sees(name) && !members.empty()) {
+                    m_zoneNames.push_back(name);
+                }
+            }
+            return m_zoneNames;
+        }
+        const Member *find(std::string_view) const override
+        {
+            return nullptr;
+        }
+        std::size_t liveCount() const override
+        {
+            if (fleet.m_alone) {
+                return 1;
+            }
+            std::size_t count = 0;
+            for (const auto &[name, members] : fleet.m_zones) {
+                count += sees(name) ? members.size() : 0;
+            }
+            return count;
+        }
+        std::uint64_t tableHash() const override
+        {
+            return 0x1234567890abcdefU;
+        }
+        const Member &self() const override
+        {
+            return member;
+        }
+
+        void send(const SocketAddress &to, const wire::Envelope &message) override
+        {
+            fleet.deliver(*this, to.port, message);
+        }
+
+        void get(std::string_view kind, std::string_view name, StoreCallback callback) override
+        {
+            fleet.platform.get(kind, name, whenAwake(std::move(callback)));
+        }
+        void watch(std::string_view kind, std::string_view name, std::int64_t from, std::int64_t timeout,
+                   StoreCallback callback) override
+        {
+            fleet.platform.watch(kind, name, from, timeout, whenAwake(std::move(callback)));
+        }
+        void list(std::string_view kind, StoreCallback callback) override
+        {
+            fleet.platform.list(kind, callback);
+        }
+        void create(std::string_view kind, std::string_view name, std::string_view value,
+                    StoreCallback callback) override
+        {
+            fleet.platform.create(kind, name, value, callback);
+        }
+        void update(std::string_view kind, std::string_view name, std::int64_t version, std::string_view value,
+                    StoreCallback callback) override
+        {
+            fleet.platform.update(kind, name, version, value, callback);
+        }
+        void remove(std::string_view kind, std::string_view name, std::int64_t version, StoreCallback callback) override
+        {
+            fleet.platform.remove(kind, name, version, callback);
+        }
+
+        void onManifest(Version version, const std::string &digest, std::shared_ptr<const Manifest> manifest) override
+        {
+            const bool replicated = liveCount() <= 1
+                || std::any_of(fleet.m_nodes.begin(), fleet.m_nodes.end(),
+                               [&](const auto &other) { return other.get() != this && other->everHeld >= version; });
+            fleet.rules.activated(member.host, version, digest, *manifest, replicated);
+        }
+
+        /// A paused process handles what it received after it continues.
+        void whenRunning(std::function<void()> action)
+        {
+            if (paused) {
+                inbox.push_back(std::move(action));
+            } else {
+                action();
+            }
+        }
+        void receive(const wire::Envelope &message)
+        {
+            if (spread) {
+                copies += message.__isset.push || message.__isset.content ? 1 : 0;
+                spread->onMessage(fleet.queue.now(), message);
+                noteHeld();
+            }
+        }
+        void noteHeld()
+        {
+            everHeld = std::max(everHeld, spread->heldVersion());
+        }
+        StoreCallback whenAwake(StoreCallback callback)
+        {
+            return [this, callback, current = life](const StoreReply &reply) {
+                whenRunning([this, callback, current, reply] {
+                    if (spread && life == current) {
+                        callback(reply);
+                        noteHeld();
+                    }
+                });
+            };
+        }
+
+        Member member;
+        SeededRandom random;
+        SpreadFleet &fleet;
+        std::unique_ptr<Spread> spread;
+        bool paused = false;
+        int life = 0;
+        int copies = 0;
+        Version everHeld = 0;
+        std::deque<std::function<void()>> inbox;
+
+    private:
+        mutable std::vector<std::string> m_zoneNames;
+    };
+
+    void deliver(Node &from, std::size_t to, const wire::Envelope &original)
+    {
+        auto message = std::make_shared<wire::Envelope>(original);
+        message->header.host = from.member.host;
+        message->header.zone = from.member.zone;
+        message->header.version = from.spread ? from.spread->version() : 0;
+        message->header.incarnation = 1700000000000;
+        message->header.address = from.member.control.ip;
+        message->header.controlPort = from.member.control.port;
+        Node &target = *m_nodes[to];
+        ++messages;
+        countBytes(*message);
+        const bool cut = !parted.empty() && from.member.zone != target.member.zone
+            && (parted == from.member.zone || parted == target.member.zone);
+        if (cut || random.chance(network.lossPerMille)) {
+            return;
+        }
+        if (alterMessage) {
+            alterMessage(*message);
+        }
+        corrupt(*message);
+        for (int copy = random.chance(network.doublePerMille) ? 2 : 1; copy > 0; --copy) {
+            const TimeMs delay = random.chance(network.latePerMille) ? random.between(100, 3000) : random.between(1, 3);
+            queue.after(delay,
+                        [&target, message] { target.whenRunning([&target, message] { target.receive(*message); }); });
+        }
+    }
+    void corrupt(wire::Envelope &message)
+    {
+        wire::Content *content = message.__isset.push ? &message.push.content
+            : message.__isset.content                 ? &message.content
+                                                      : nullptr;
+        if (content == nullptr || !random.chance(network.corruptPerMille)) {
+            return;
+        }
+        if (content->__isset.delta && !content->delta.services.empty()) {
+            content->delta.services.pop_back();
+        } else if (content->__isset.full) {
+            content->full[random.below(content->full.size())] ^= 1;
+        }
+    }
+    void countBytes(const wire::Envelope &message)
+    {
+        if (!m_settings.measureBytes) {
+            return;
+        }
+        auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+        apache::thrift::protocol::TCompactProtocol protocol(buffer);
+        message.write(&protocol);
+        bytes += buffer->available_read();
+        if (message.__isset.push || message.__isset.content) {
+            contentBytes += buffer->available_read();
+        }
+    }
+
+    FleetSettings m_settings;
+    NullLog m_log;
+    Head m_head;
+    std::map<std::string, std::vector<Member>> m_zones;
+    std::string m_hiddenZone;
+    bool m_alone = false;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+};
+
+} // namespace fulmarledge::test
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -34,7 +34,8 @@
 struct PingReq { 1: i64 sequence, 2: string target }
 struct Ack { 1: i64 sequence, 2: string subject }
 
-struct Digest { 1: i64 version, 2: i64 tableHash, 3: bool reply }
+// A digest with a nonce asks for the receiver's digest, which repeats the nonce and sets `reply`.
+struct Digest { 1: i64 version, 2: i64 tableHash, 3: bool reply, 4: optional i64 nonce }
 
 // Difference between two numbered versions. Services and routes are canonical JSON texts.
 struct ManifestDelta {
@@ -53,10 +54,13 @@
   4: optional binary full
 }
 
-// The receiver relays to the members whose hash is in [intervalBegin, intervalEnd], both unsigned.
-struct Push { 1: Content content, 2: i64 intervalBegin, 3: i64 intervalEnd }
+// The receiver relays to the members whose hash is in [intervalBegin, intervalEnd], both unsigned, and to none when
+// intervalBegin is above intervalEnd. It answers with a PushAck when `ackWanted` is set and it holds the version.
+struct Push { 1: Content content, 2: i64 intervalBegin, 3: i64 intervalEnd, 4: bool ackWanted }
 struct PushAck { 1: i64 version }
 struct Pull { 1: i64 haveVersion, 2: bool full }
+// Answer to a Pull or a Digest that would need a full manifest while the sender already sends too many.
+struct PullRefusal { 1: i32 retryAfterMs }
 
 struct Bucket { 1: i32 index, 2: i64 hash }
 struct TableRequest { 1: list<Bucket> buckets }
@@ -80,6 +84,7 @@
   11: optional TableReply tableReply
   12: optional Join join
   13: optional JoinReply joinReply
+  16: optional PullRefusal pullRefusal
   20: list<HostRecord> updates
 }
 
