Add hop connections and the parsing of caller header fields

Nodes exchange requests over persistent multiplexed TCP connections. A frame that was not written to its end cannot have been read by the peer, so its request is reported as not run when the connection fails.

--- /dev/null
+++ b/src/adapters/hop.cpp
@@ -0,0 +1,292 @@
+#include "hop.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <system_error>
+#include <unistd.h>
+#include <vector>
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+
+sockaddr_in toSockaddr(const SocketAddress &address)
+{
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
+    return result;
+}
+
+void setNoDelay(int fd)
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+/// Socket whose connection to `address` is in progress, or -1.
+int openConnection(const SocketAddress &address)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return -1;
+    }
+    setNoDelay(fd);
+    const sockaddr_in to = toSockaddr(address);
+    if (::connect(fd, reinterpret_cast<const sockaddr *>(&to), sizeof(to)) != 0 && errno != EINPROGRESS) {
+        ::close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+} // namespace
+
+HopClient::HopClient(IoLoop &loop, const HopConfig &config)
+    : m_loop(loop)
+    , m_config(config)
+{
+    m_idleTimer = m_loop.runAfter(m_config.idleMs, [this] { closeIdle(); });
+}
+
+HopClient::~HopClient()
+{
+    *m_alive = false;
+    m_loop.cancel(m_idleTimer);
+}
+
+HopClient::Peer *HopClient::connect(const PeerKey &key)
+{
+    Peer &peer = m_peers[key];
+    peer.lastUsed = monotonicMs();
+    if (peer.link) {
+        return &peer;
+    }
+    const int fd = openConnection(key.first);
+    if (fd < 0) {
+        m_peers.erase(key);
+        return nullptr;
+    }
+    peer.link = std::make_unique<HopLink>(
+        m_loop, fd, true, m_config,
+        HopLink::Handlers{[this, key](wire::HopFrame &&frame) { onFrame(key, std::move(frame)); },
+                          [this, key] { onClosed(key); }});
+    return &peer;
+}
+
+std::uint64_t HopClient::send(const SocketAddress &peer, wire::HopRequest request, Callback callback)
+{
+    const std::uint64_t id = m_nextId++;
+    const PeerKey key{peer, request.bulk};
+    request.__set_id(static_cast<std::int64_t>(id));
+    wire::HopFrame frame;
+    frame.request = std::move(request);
+    frame.__isset.request = true;
+    Peer *target = connect(key);
+    const std::uint64_t position = target == nullptr ? 0 : target->link->send(frame);
+    m_pending.emplace(id, Pending{key, position, std::move(callback)});
+    if (target != nullptr) {
+        ++target->pending;
+    }
+    if (position == 0) {
+        m_loop.runAfter(0, [this, id, alive = m_alive, found = target != nullptr] {
+            if (*alive) {
+                HopOutcome outcome;
+                outcome.reason = found ? Reason::QueueFull : Reason::ConnectFailed;
+                finish(id, std::move(outcome));
+            }
+        });
+    }
+    return id;
+}
+
+void HopClient::cancel(std::uint64_t id)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const auto peer = m_peers.find(found->second.peer);
+    if (peer != m_peers.end() && peer->second.link) {
+        --peer->second.pending;
+        wire::HopFrame frame;
+        wire::HopCancel cancelled;
+        cancelled.__set_id(static_cast<std::int64_t>(id));
+        frame.__set_cancel(cancelled);
+        peer->second.link->send(frame);
+    }
+    m_pending.erase(found);
+}
+
+void HopClient::onFrame(const PeerKey &key, wire::HopFrame &&frame)
+{
+    if (!frame.__isset.response) {
+        return;
+    }
+    const auto id = static_cast<std::uint64_t>(frame.response.id);
+    const auto found = m_pending.find(id);
+    // An answer counts only on the connection that carried its request.
+    if (found == m_pending.end() || found->second.peer != key) {
+        return;
+    }
+    HopOutcome outcome;
+    outcome.fromPeer = true;
+    outcome.verdict = static_cast<Verdict>(frame.response.verdict);
+    outcome.reason = static_cast<Reason>(frame.response.reason);
+    outcome.response = std::move(frame.response);
+    finish(id, std::move(outcome));
+}
+
+void HopClient::finish(std::uint64_t id, HopOutcome outcome)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const Callback callback = std::move(found->second.callback);
+    const auto peer = m_peers.find(found->second.peer);
+    if (peer != m_peers.end() && peer->second.pending > 0) {
+        --peer->second.pending;
+    }
+    m_pending.erase(found);
+    callback(std::move(outcome));
+}
+
+void HopClient::onClosed(const PeerKey &key)
+{
+    const auto peer = m_peers.find(key);
+    const std::unique_ptr<HopLink> link = std::move(peer->second.link);
+    m_peers.erase(peer);
+    std::vector<std::uint64_t> ended;
+    for (const auto &[id, pending] : m_pending) {
+        if (pending.peer == key) {
+            ended.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : ended) {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end()) {
+            continue;
+        }
+        HopOutcome outcome;
+        // A frame that was not written to its end cannot have been read, so its request certainly did not run.
+        const bool sent = found->second.endPosition <= link->written();
+        outcome.verdict = sent ? Verdict::MayHaveRun : Verdict::NotRun;
+        outcome.reason = link->written() == 0 ? Reason::ConnectFailed : Reason::ConnectionLost;
+        finish(id, std::move(outcome));
+    }
+}
+
+void HopClient::closeIdle()
+{
+    const TimeMs now = monotonicMs();
+    std::erase_if(m_peers, [&](const auto &entry) {
+        return entry.second.pending == 0 && now - entry.second.lastUsed >= m_config.idleMs;
+    });
+    m_idleTimer = m_loop.runAfter(m_config.idleMs, [this] { closeIdle(); });
+}
+
+HopServer::HopServer(IoLoop &loop, const HopConfig &config, Handlers handlers)
+    : m_loop(loop)
+    , m_config(config)
+    , m_handlers(std::move(handlers))
+{
+}
+
+void HopServer::accept(int fd)
+{
+    const std::uint64_t id = m_nextLink++;
+    m_links[id].link = std::make_unique<HopLink>(
+        m_loop, fd, false, m_config,
+        HopLink::Handlers{[this, id](wire::HopFrame &&frame) { onFrame(id, std::move(frame)); },
+                          [this, id] { onClosed(id); }});
+}
+
+void HopServer::onFrame(std::uint64_t link, wire::HopFrame &&frame)
+{
+    Link &from = m_links[link];
+    if (frame.__isset.request) {
+        // A repeated id on one connection would pair an answer with the wrong request.
+        if (from.calls.emplace(frame.request.id, true).second) {
+            m_handlers.onRequest({link, frame.request.id}, std::move(frame.request));
+        }
+    } else if (frame.__isset.cancel && from.calls.erase(frame.cancel.id) > 0) {
+        m_handlers.onCancel({link, frame.cancel.id});
+    }
+}
+
+void HopServer::onClosed(std::uint64_t link)
+{
+    const auto found = m_links.find(link);
+    const Link closed = std::move(found->second);
+    m_links.erase(found);
+    for (const auto &[id, open] : closed.calls) {
+        m_handlers.onCancel({link, id});
+    }
+}
+
+void HopServer::reply(HopCallId call, wire::HopResponse response)
+{
+    const auto found = m_links.find(call.link);
+    if (found == m_links.end() || found->second.calls.erase(call.id) == 0) {
+        return;
+    }
+    response.__set_id(call.id);
+    wire::HopFrame frame;
+    frame.response = std::move(response);
+    frame.__isset.response = true;
+    if (found->second.link->send(frame) == 0) {
+        wire::HopFrame small;
+        small.response.__set_id(call.id);
+        small.response.__set_verdict(wire::Verdict::MayHaveRun);
+        small.response.__set_reason(static_cast<std::int32_t>(Reason::BodyTooLarge));
+        small.__isset.response = true;
+        found->second.link->send(small);
+    }
+}
+
+void HopServer::closeAll()
+{
+    m_links.clear();
+}
+
+HopListener::HopListener(IoLoop &loop, const SocketAddress &address, std::function<void(int fd)> onAccept)
+    : m_loop(loop)
+    , m_fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+    , m_onAccept(std::move(onAccept))
+{
+    const int on = 1;
+    setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in at = toSockaddr(address);
+    if (::bind(m_fd, reinterpret_cast<const sockaddr *>(&at), sizeof(at)) != 0 || ::listen(m_fd, kBacklog) != 0) {
+        const int error = errno;
+        ::close(m_fd);
+        throw std::system_error(error, std::generic_category(),
+                                "hop address " + address.ip + ":" + std::to_string(address.port));
+    }
+    m_loop.addFd(m_fd, EPOLLIN, [this](std::uint32_t) {
+        while (true) {
+            const int fd = ::accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (fd < 0) {
+                return;
+            }
+            setNoDelay(fd);
+            m_onAccept(fd);
+        }
+    });
+}
+
+HopListener::~HopListener()
+{
+    m_loop.removeFd(m_fd);
+    ::close(m_fd);
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/adapters/hop.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "fulmarledge/types.h"
+#include "fulmarledge/verdict.h"
+#include "fulmarledge_types.h"
+#include "ioloop.h"
+
+namespace fulmarledge {
+
+struct HopConfig {
+    std::int64_t beatMs = 1000; ///< period of the application heartbeat
+    std::int64_t silenceMs = 3000; ///< a connection without progress for this time is closed
+    std::int64_t connectTimeoutMs = 1000;
+    std::int64_t idleMs = 60000; ///< a connection without requests for this time is closed
+    std::size_t maxFrameBytes = 72 * 1024 * 1024; ///< one answer of at most 64 MB and its fields
+    std::size_t maxOutstandingBytes = 128 * 1024 * 1024; ///< per connection, waiting to be written
+};
+
+/// One TCP connection that carries length-prefixed `HopFrame` messages. Belongs to the loop's thread. Destroying it
+/// closes the connection without a call of `onClosed`.
+class HopLink
+{
+public:
+    struct Handlers {
+        std::function<void(wire::HopFrame &&)> onFrame;
+        std::function<void()> onClosed; ///< the last call; the link may be destroyed in it
+    };
+
+    /// @param fd connected socket, or one whose connection is in progress if `connecting`
+    HopLink(IoLoop &loop, int fd, bool connecting, const HopConfig &config, Handlers handlers);
+    ~HopLink();
+    HopLink(const HopLink &) = delete;
+    HopLink &operator=(const HopLink &) = delete;
+
+    /// Queues a frame.
+    /// @return position in the stream after the frame, or 0 when the frame or the queue would be too large
+    std::uint64_t send(const wire::HopFrame &frame);
+    /// Bytes handed to the kernel. A frame that ends above this position cannot have been read by the peer.
+    std::uint64_t written() const
+    {
+        return m_written;
+    }
+
+private:
+    void onEvents(std::uint32_t events);
+    bool readAvailable();
+    bool parseFrames();
+    void flush();
+    void onBeat();
+    void watch();
+    void fail();
+
+    IoLoop &m_loop;
+    int m_fd;
+    bool m_connecting;
+    bool m_failed = false;
+    bool m_wantWrite = false;
+    HopConfig m_config;
+    Handlers m_handlers;
+    TimerId m_beatTimer;
+    TimerId m_failTimer;
+    TimeMs m_opened;
+    TimeMs m_lastProgress;
+    std::int64_t m_beats = 0;
+    std::string m_in;
+    std::string m_out;
+    std::size_t m_outStart = 0;
+    std::uint64_t m_queued = 0;
+    std::uint64_t m_written = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+/// How a hop request ended.
+struct HopOutcome {
+    Verdict verdict = Verdict::NotRun;
+    Reason reason = Reason::None;
+    wire::HopResponse response; ///< set when the peer answered, also with a refusal
+    bool fromPeer = false;
+};
+
+/// Sends requests to other nodes. Interactive and bulk requests use separate connections, so that a large answer does
+/// not delay small ones. Belongs to the loop's thread.
+class HopClient
+{
+public:
+    using Callback = std::function<void(HopOutcome)>;
+
+    HopClient(IoLoop &loop, const HopConfig &config);
+    ~HopClient();
+    HopClient(const HopClient &) = delete;
+    HopClient &operator=(const HopClient &) = delete;
+
+    /// The callback runs once, after this call has returned, unless the request is cancelled. Sets `request.id`.
+    std::uint64_t send(const SocketAddress &peer, wire::HopRequest request, Callback callback);
+    /// Tells the peer to stop the work. A late answer is dropped.
+    void cancel(std::uint64_t id);
+
+private:
+    using PeerKey = std::pair<SocketAddress, bool>;
+    struct Pending {
+        PeerKey peer;
+        std::uint64_t endPosition = 0;
+        Callback callback;
+    };
+    struct Peer {
+        std::unique_ptr<HopLink> link;
+        std::size_t pending = 0;
+        TimeMs lastUsed = 0;
+    };
+
+    Peer *connect(const PeerKey &key);
+    void onFrame(const PeerKey &key, wire::HopFrame &&frame);
+    void onClosed(const PeerKey &key);
+    void closeIdle();
+    void finish(std::uint64_t id, HopOutcome outcome);
+
+    IoLoop &m_loop;
+    HopConfig m_config;
+    std::uint64_t m_nextId = 1;
+    std::map<PeerKey, Peer> m_peers;
+    std::unordered_map<std::uint64_t, Pending> m_pending;
+    TimerId m_idleTimer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+/// Identifies a request within one HopServer.
+struct HopCallId {
+    std::uint64_t link = 0;
+    std::int64_t id = 0;
+
+    auto operator<=>(const HopCallId &) const = default;
+};
+
+/// Connections accepted from other nodes by one thread. Belongs to the loop's thread.
+class HopServer
+{
+public:
+    struct Handlers {
+        std::function<void(HopCallId, wire::HopRequest &&)> onRequest;
+        /// The peer cancelled the request, or its connection is gone. No answer is needed.
+        std::function<void(HopCallId)> onCancel;
+    };
+
+    HopServer(IoLoop &loop, const HopConfig &config, Handlers handlers);
+
+    /// Takes over a connected socket.
+    void accept(int fd);
+    /// Answers a request. An answer whose connection is gone is dropped.
+    void reply(HopCallId call, wire::HopResponse response);
+    void closeAll();
+
+private:
+    struct Link {
+        std::unique_ptr<HopLink> link;
+        std::map<std::int64_t, bool> calls;
+    };
+
+    void onFrame(std::uint64_t link, wire::HopFrame &&frame);
+    void onClosed(std::uint64_t link);
+
+    IoLoop &m_loop;
+    HopConfig m_config;
+    Handlers m_handlers;
+    std::uint64_t m_nextLink = 1;
+    std::unordered_map<std::uint64_t, Link> m_links;
+};
+
+/// Listens on an address and hands over each accepted socket, with TCP_NODELAY set. Belongs to the loop's thread.
+class HopListener
+{
+public:
+    HopListener(IoLoop &loop, const SocketAddress &address, std::function<void(int fd)> onAccept);
+    ~HopListener();
+    HopListener(const HopListener &) = delete;
+    HopListener &operator=(const HopListener &) = delete;
+
+private:
+    IoLoop &m_loop;
+    int m_fd;
+    std::function<void(int fd)> m_onAccept;
+};
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/adapters/requestheaders.cpp
@@ -0,0 +1,144 @@
+#include "requestheaders.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <strings.h>
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr std::size_t kMaxIdBytes = 128;
+constexpr std::size_t kMaxKeyBytes = 255;
+constexpr std::int64_t kMaxDeadlineMs = 600000;
+constexpr std::int64_t kMaxDepth = 1000;
+constexpr std::int64_t kMaxAttempt = 1000000;
+
+bool equalNames(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+template<std::size_t size>
+bool isOneOf(std::string_view name, const std::array<std::string_view, size> &names)
+{
+    return std::any_of(names.begin(), names.end(), [name](std::string_view known) { return equalNames(name, known); });
+}
+
+/// RFC 9110, section 7.6.1, and fields that the next connection writes itself.
+bool isHopByHop(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 12> kNames{
+        "Connection",       "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+        "Trailer",          "Upgrade",    "Transfer-Encoding", "Content-Length",     "Host",                "Expect"};
+    return isOneOf(name, kNames);
+}
+
+bool isOwnField(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 7> kNames{
+        "Fulmarledge-Deadline-Ms", "Fulmarledge-Request-Id", "Fulmarledge-Depth",  "Fulmarledge-Attempt",
+        "Fulmarledge-Verdict",     "Fulmarledge-Reason",     "Fulmarledge-Version"};
+    return isOneOf(name, kNames);
+}
+
+bool isListed(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        std::string_view item = list.substr(0, comma);
+        list.remove_prefix(std::min(comma + 1, list.size()));
+        while (!item.empty() && item.front() == ' ') {
+            item.remove_prefix(1);
+        }
+        while (!item.empty() && item.back() == ' ') {
+            item.remove_suffix(1);
+        }
+        if (equalNames(item, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool readNumber(const HttpFields &fields, std::string_view name, std::int64_t low, std::int64_t high,
+                std::optional<std::int64_t> &value, LastReason &error)
+{
+    const std::string_view text = fieldValue(fields, name);
+    if (text.empty()) {
+        return true;
+    }
+    std::int64_t number = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (code != std::errc{} || end != text.data() + text.size() || number < low || number > high) {
+        error.set(std::string(name) + ": must be a whole number from " + std::to_string(low) + " to "
+                  + std::to_string(high));
+        return false;
+    }
+    value = number;
+    return true;
+}
+
+bool readToken(const HttpFields &fields, std::string_view name, std::size_t maxBytes, std::string &value,
+               LastReason &error)
+{
+    const std::string_view text = fieldValue(fields, name);
+    const bool printable = std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+    if (text.size() > maxBytes || !printable) {
+        error.set(std::string(name) + ": must be at most " + std::to_string(maxBytes)
+                  + " printable ASCII characters without spaces");
+        return false;
+    }
+    value = text;
+    return true;
+}
+
+} // namespace
+
+std::optional<CallerFields> parseCallerFields(const HttpCall &call, LastReason &error)
+{
+    CallerFields result;
+    std::optional<std::int64_t> deadline;
+    std::optional<std::int64_t> depth;
+    std::optional<std::int64_t> attempt;
+    const bool good = readNumber(call.fields, "Fulmarledge-Deadline-Ms", 1, kMaxDeadlineMs, deadline, error)
+        && readNumber(call.fields, "Fulmarledge-Depth", 1, kMaxDepth, depth, error)
+        && readNumber(call.fields, "Fulmarledge-Attempt", 1, kMaxAttempt, attempt, error)
+        && readToken(call.fields, "Fulmarledge-Request-Id", kMaxIdBytes, result.requestId, error)
+        && readToken(call.fields, "Fulmarledge-Caller", kMaxIdBytes, result.caller, error)
+        && readToken(call.fields, "Idempotency-Key", kMaxKeyBytes, result.key, error);
+    if (!good) {
+        return std::nullopt;
+    }
+    result.deadlineMs = deadline.value_or(0);
+    // A backend server passes on the depth that it received; each further call is one deeper.
+    result.depth = static_cast<std::uint32_t>(depth.value_or(0) + 1);
+    result.attempt = static_cast<std::uint32_t>(attempt.value_or(1));
+    if (result.caller.empty()) {
+        result.caller = call.peerIp;
+    }
+    return result;
+}
+
+std::vector<wire::HttpField> endToEndFields(const HttpFields &fields)
+{
+    const std::string_view connection = fieldValue(fields, "Connection");
+    std::vector<wire::HttpField> result;
+    result.reserve(fields.size() + 4);
+    for (const auto &[name, value] : fields) {
+        if (!isHopByHop(name) && !isOwnField(name) && !isListed(connection, name)) {
+            wire::HttpField &field = result.emplace_back();
+            field.name = name;
+            field.value = value;
+        }
+    }
+    return result;
+}
+
+bool isBodyless(int status)
+{
+    return status == 204 || status == 304 || (status >= 100 && status < 200);
+}
+
+} // namespace fulmarledge
