Add the data path of a node with its slot guard and hops

Cause: callers' requests need a path to the backend servers that never runs a request twice unasked and never passes on a part of an answer. Change: RequestPath joins the HTTP server, data threads, hop connections and the request core. The HTTP server parses and writes messages itself on Pistache's connections: Pistache's parser merges repeated fields and query parameters and drops pipelined requests, and its writer addresses a connection by a descriptor number that may already belong to another caller.

--- /dev/null
+++ b/src/adapters/backendcalls_p.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "httpclient.h"
+#include "ioloop.h"
+#include "localbackend_p.h"
+
+namespace fulmarledge {
+
+/// Runs requests at the backend server of this host, within the slots of its guard. One per data thread.
+class BackendCalls
+{
+public:
+    using Done = std::function<void(wire::HopResponse &&)>;
+
+    BackendCalls(IoLoop &loop, LocalBackend &backend, std::size_t maxAnswerBytes);
+    ~BackendCalls();
+    BackendCalls(const BackendCalls &) = delete;
+    BackendCalls &operator=(const BackendCalls &) = delete;
+
+    /// `done` runs once, after this call has returned, unless the request is cancelled.
+    std::uint64_t execute(wire::HopRequest request, TimeMs deadline, Done done);
+    void cancel(std::uint64_t id);
+
+private:
+    struct Job {
+        wire::HopRequest request;
+        TimeMs deadline = 0;
+        Done done;
+        GuardEntryId entry;
+        KeyEntryId key;
+        TransferId transfer;
+        bool running = false;
+        bool head = false;
+    };
+
+    void resume(std::uint64_t id, const GuardDecision &decision);
+    void dispatch(std::uint64_t id);
+    void onResult(std::uint64_t id, HttpResult result);
+    void finish(std::uint64_t id, wire::HopResponse response);
+    void armWakeup();
+
+    IoLoop &m_loop;
+    LocalBackend &m_backend;
+    std::size_t m_maxAnswerBytes;
+    HttpClient m_client;
+    std::uint64_t m_nextId = 1;
+    std::unordered_map<std::uint64_t, Job> m_jobs;
+    TimerId m_wakeup;
+    TimeMs m_wakeupAt = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/adapters/dataworker.cpp
@@ -0,0 +1,320 @@
+#include <algorithm>
+#include <unistd.h>
+#include <utility>
+
+#include "dataworker_p.h"
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr TimeMs kMsPerSecond = 1000;
+
+wire::HopResponse toResponse(HopOutcome &&outcome)
+{
+    return outcome.fromPeer ? std::move(outcome.response) : refusal(outcome.verdict, outcome.reason, 0);
+}
+
+std::string retryAfterSeconds(TimeMs ms)
+{
+    return std::to_string(std::max<TimeMs>((ms + kMsPerSecond - 1) / kMsPerSecond, 1));
+}
+
+} // namespace
+
+PathState::PathState(const RequestPathSettings &pathSettings, Metrics &pathMetrics)
+    : settings(pathSettings)
+    , metrics(pathMetrics)
+    , backend(monotonicMs())
+    , views(pathSettings.host, pathSettings.zone, backend.gauge(), pathSettings.balancer, pathSettings.retry)
+{
+}
+
+void sendRefusal(PathState &state, HttpResponder &responder, int status, Reason reason, const std::string &detail)
+{
+    state.refused.fetch_add(1, std::memory_order_relaxed);
+    state.metrics.countRefusal(reason);
+    state.metrics.countVerdict(Verdict::NotRun);
+    HttpFields fields{{"Fulmarledge-Verdict", "not-run"}, {"Fulmarledge-Reason", std::string(reasonName(reason))}};
+    if (status == kUnavailable) {
+        fields.emplace_back("Retry-After", "1");
+    }
+    responder.send(status, fields, detail.empty() ? std::string() : detail + "\n");
+}
+
+std::uint64_t DataWorker::Random::below(std::uint64_t bound)
+{
+    return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(m_engine);
+}
+
+DataWorker::DataWorker(PathState &state)
+    : m_state(state)
+    , m_calls(m_loop, state.backend, state.settings.maxAnswerBytes)
+    , m_hopClient(m_loop, state.settings.hopConfig)
+    , m_hopServer(m_loop, state.settings.hopConfig,
+                  {[this](HopCallId call, wire::HopRequest &&request) { onHopRequest(call, std::move(request)); },
+                   [this](HopCallId call) { onHopCancel(call); }})
+{
+}
+
+DataWorker::~DataWorker()
+{
+    stop();
+}
+
+void DataWorker::start()
+{
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
+void DataWorker::stop()
+{
+    if (m_thread.joinable()) {
+        m_loop.stop();
+        m_thread.join();
+    }
+}
+
+void DataWorker::submit(std::shared_ptr<CallerRequest> request)
+{
+    m_loop.post([this, request = std::move(request)]() mutable { begin(std::move(request)); });
+}
+
+void DataWorker::acceptHop(int fd)
+{
+    m_loop.post([this, fd] { m_hopServer.accept(fd); });
+}
+
+void DataWorker::begin(std::shared_ptr<CallerRequest> request)
+{
+    const std::uint64_t id = m_state.nextRequest.fetch_add(1, std::memory_order_relaxed);
+    Work &work = m_work[id];
+    work.request = std::move(request);
+    work.routing = m_state.views.share();
+    const HttpCall &call = work.request->call;
+    ServiceHandle service;
+    if (work.routing) {
+        service = work.routing->view->snapshot().route(call.path);
+    }
+    if (!isValid(service)) {
+        sendRefusal(m_state, *call.responder, work.routing ? kNotFound : kUnavailable,
+                    work.routing ? Reason::NoRoute : Reason::NotReady, "no route for this path");
+        m_state.outstanding.fetch_sub(1, std::memory_order_relaxed);
+        m_state.outstandingBytes.fetch_sub(call.body.size(), std::memory_order_relaxed);
+        m_work.erase(id);
+        return;
+    }
+    startSession(id, work, service);
+}
+
+void DataWorker::startSession(std::uint64_t id, Work &work, ServiceHandle service)
+{
+    const HttpCall &call = work.request->call;
+    const CallerFields &fields = work.request->fields;
+    const Snapshot &snapshot = work.routing->view->snapshot();
+    const ServiceSpec &spec = snapshot.service(service).spec;
+    work.serviceName = spec.name;
+    work.bulk = spec.serviceClass == ServiceClass::Bulk;
+    work.version = snapshot.version();
+    work.target = call.path + call.query;
+    const std::int64_t limit = fields.deadlineMs > 0 ? std::min(fields.deadlineMs, spec.timeoutMs) : spec.timeoutMs;
+    work.deadline = work.request->received + limit;
+    SessionRequest session;
+    session.id = id;
+    session.service = service;
+    session.method = call.method;
+    session.key = fields.key;
+    session.depth = fields.depth;
+    session.deadline = work.deadline;
+    SessionConfig config;
+    config.retry = m_state.settings.retry;
+    work.session = std::make_unique<RequestSession>(session, work.routing->view, config,
+                                                    *work.routing->budgets[service.idx], m_random, m_state.counters);
+    const TimeMs now = monotonicMs();
+    work.timer = m_loop.runAfter(work.deadline - now, [this, id] {
+        Work &late = m_work[id];
+        late.timer = {};
+        act(id, late.session->deadlineReached(monotonicMs()));
+    });
+    call.responder->onClosed([this, id] { m_loop.post([this, id] { callerGone(id); }); });
+    act(id, work.session->start(now));
+}
+
+void DataWorker::callerGone(std::uint64_t id)
+{
+    const auto found = m_work.find(id);
+    if (found != m_work.end()) {
+        act(id, found->second.session->callerGone(monotonicMs()));
+    }
+}
+
+void DataWorker::act(std::uint64_t id, const SessionActions &actions)
+{
+    for (const SessionAction &action : actions) {
+        Work &work = m_work[id];
+        switch (action.kind) {
+        case ActionKind::None:
+            break;
+        case ActionKind::Dispatch:
+            dispatch(id, work, action);
+            break;
+        case ActionKind::Wait:
+            m_state.metrics.countRetry(work.lastReason);
+            backoff(id, work, action.until);
+            break;
+        case ActionKind::Cancel:
+            cancelAttempt(work);
+            break;
+        case ActionKind::Answer:
+            answer(id, action);
+            return;
+        }
+    }
+}
+
+wire::HopRequest DataWorker::hopRequest(const Work &work, const SessionAction &action) const
+{
+    const HttpCall &call = work.request->call;
+    const CallerFields &fields = work.request->fields;
+    wire::HopRequest request;
+    request.serviceName = work.serviceName;
+    request.method = call.method;
+    request.target = work.target;
+    request.fields = endToEndFields(call.fields);
+    const auto add = [&request](const char *name, std::string value) {
+        wire::HttpField &field = request.fields.emplace_back();
+        field.name = name;
+        field.value = std::move(value);
+    };
+    add("Fulmarledge-Depth", std::to_string(fields.depth));
+    if (fields.attempt > 1) {
+        add("Fulmarledge-Attempt", std::to_string(fields.attempt));
+    }
+    request.body = call.body;
+    request.deadlineMs = static_cast<std::int32_t>(std::max<TimeMs>(action.until - monotonicMs(), 1));
+    request.requestId = fields.requestId;
+    request.idempotencyKey = fields.key;
+    request.caller = fields.caller;
+    request.bulk = work.bulk;
+    request.version = work.version;
+    return request;
+}
+
+void DataWorker::dispatch(std::uint64_t id, Work &work, const SessionAction &action)
+{
+    work.attempt = action.attempt;
+    m_state.dispatched.fetch_add(1, std::memory_order_relaxed);
+    const AttemptId attempt = action.attempt;
+    if (action.ownHost) {
+        work.localCall = m_calls.execute(hopRequest(work, action), action.until,
+                                         [this, id, attempt](wire::HopResponse &&response) {
+                                             attemptFinished(id, attempt, std::move(response), true);
+                                         });
+        return;
+    }
+    const wire::HostRecord &record = *work.session->view()->backend(action.backend).record;
+    const SocketAddress peer{record.address, static_cast<std::uint16_t>(record.hopPort)};
+    work.hopCall = m_hopClient.send(peer, hopRequest(work, action), [this, id, attempt](HopOutcome outcome) {
+        const bool reported = outcome.fromPeer;
+        attemptFinished(id, attempt, toResponse(std::move(outcome)), reported);
+    });
+}
+
+void DataWorker::attemptFinished(std::uint64_t id, AttemptId attempt, wire::HopResponse &&response, bool reported)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end()) {
+        m_state.counters.lateAnswers.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    Work &work = found->second;
+    work.localCall = 0;
+    work.hopCall = 0;
+    work.response = std::move(response);
+    AttemptResult result;
+    result.verdict = static_cast<Verdict>(work.response.verdict);
+    result.reason = static_cast<Reason>(work.response.reason);
+    result.status = work.response.status;
+    result.retryAfterMs = work.response.retryAfterMs;
+    result.load = reported ? work.response.outstanding : -1;
+    work.lastReason = result.reason;
+    act(id, work.session->attemptFinished(attempt, result, monotonicMs()));
+}
+
+void DataWorker::backoff(std::uint64_t id, Work &work, TimeMs until)
+{
+    work.backoff = m_loop.runAfter(until - monotonicMs(), [this, id] {
+        Work &waited = m_work[id];
+        waited.backoff = {};
+        // The budgets of the first routing state stay in use: they outlive a change of the manifest.
+        act(id, waited.session->backoffOver(m_state.views.share()->view, monotonicMs()));
+    });
+}
+
+void DataWorker::cancelAttempt(Work &work)
+{
+    if (work.localCall != 0) {
+        m_calls.cancel(work.localCall);
+        work.localCall = 0;
+    }
+    if (work.hopCall != 0) {
+        m_hopClient.cancel(work.hopCall);
+        work.hopCall = 0;
+    }
+}
+
+void DataWorker::answer(std::uint64_t id, const SessionAction &action)
+{
+    const auto found = m_work.find(id);
+    Work work = std::move(found->second);
+    m_work.erase(found);
+    m_loop.cancel(work.timer);
+    m_loop.cancel(work.backoff);
+    m_state.outstanding.fetch_sub(1, std::memory_order_relaxed);
+    m_state.outstandingBytes.fetch_sub(work.request->call.body.size(), std::memory_order_relaxed);
+    m_state.metrics.countVerdict(action.verdict);
+    HttpFields fields;
+    std::string body;
+    if (action.verdict == Verdict::Answered) {
+        fields.reserve(work.response.fields.size() + 4);
+        for (wire::HttpField &field : work.response.fields) {
+            fields.emplace_back(std::move(field.name), std::move(field.value));
+        }
+        body = std::move(work.response.body);
+    } else {
+        m_state.metrics.countRefusal(action.reason);
+        m_state.refused.fetch_add(action.verdict == Verdict::NotRun ? 1 : 0, std::memory_order_relaxed);
+        fields.emplace_back("Fulmarledge-Reason", reasonName(action.reason));
+        if (action.status == kUnavailable) {
+            fields.emplace_back("Retry-After", retryAfterSeconds(action.retryAfterMs));
+        }
+    }
+    fields.emplace_back("Fulmarledge-Verdict", verdictName(action.verdict));
+    fields.emplace_back("Fulmarledge-Request-Id", work.request->fields.requestId);
+    fields.emplace_back("Fulmarledge-Version", std::to_string(work.version));
+    if (action.reason != Reason::CallerGone) {
+        work.request->call.responder->send(action.status, fields, std::move(body));
+    }
+}
+
+void DataWorker::onHopRequest(HopCallId call, wire::HopRequest &&request)
+{
+    const TimeMs deadline = monotonicMs() + std::max<std::int32_t>(request.deadlineMs, 1);
+    m_hopCalls[call] = m_calls.execute(std::move(request), deadline, [this, call](wire::HopResponse &&response) {
+        m_hopCalls.erase(call);
+        m_hopServer.reply(call, std::move(response));
+    });
+}
+
+void DataWorker::onHopCancel(HopCallId call)
+{
+    const auto found = m_hopCalls.find(call);
+    if (found != m_hopCalls.end()) {
+        m_calls.cancel(found->second);
+        m_hopCalls.erase(found);
+    }
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/adapters/dataworker_p.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <unordered_map>
+
+#include "backendcalls_p.h"
+#include "fulmarledge/requestsession.h"
+#include "hop.h"
+#include "httpserver.h"
+#include "localbackend_p.h"
+#include "metrics.h"
+#include "requestheaders.h"
+#include "requestpath.h"
+#include "viewholder_p.h"
+
+namespace fulmarledge {
+
+/// State shared by the threads of one data path.
+struct PathState {
+    PathState(const RequestPathSettings &pathSettings, Metrics &pathMetrics);
+
+    RequestPathSettings settings;
+    Metrics &metrics;
+    LocalBackend backend;
+    ViewHolder views;
+    RequestCounters counters;
+    std::atomic<std::uint64_t> nextRequest{1};
+    std::atomic<std::uint64_t> outstanding{0};
+    std::atomic<std::uint64_t> outstandingBytes{0};
+    std::atomic<std::uint64_t> dispatched{0};
+    std::atomic<std::uint64_t> refused{0};
+};
+
+/// A caller's request with its fields checked.
+struct CallerRequest {
+    HttpCall call;
+    CallerFields fields;
+    TimeMs received = 0;
+};
+
+/// Sends a refusal by the entry node itself.
+void sendRefusal(PathState &state, HttpResponder &responder, int status, Reason reason, const std::string &detail);
+
+/// One data thread: sessions of callers' requests, hop connections and calls of the backend server.
+class DataWorker
+{
+public:
+    explicit DataWorker(PathState &state);
+    ~DataWorker();
+    DataWorker(const DataWorker &) = delete;
+    DataWorker &operator=(const DataWorker &) = delete;
+
+    void start();
+    void stop();
+    IoLoop &loop()
+    {
+        return m_loop;
+    }
+
+    /// Takes a caller's request. Thread-safe.
+    void submit(std::shared_ptr<CallerRequest> request);
+    /// Takes a connection of another node. Thread-safe.
+    void acceptHop(int fd);
+
+private:
+    class Random : public RandomSource
+    {
+    public:
+        std::uint64_t below(std::uint64_t bound) override;
+
+    private:
+        std::minstd_rand m_engine{std::random_device{}()};
+    };
+
+    struct Work {
+        std::shared_ptr<CallerRequest> request;
+        std::shared_ptr<const RoutingState> routing;
+        std::unique_ptr<RequestSession> session;
+        std::string target;
+        std::string serviceName;
+        Version version = 0;
+        bool bulk = false;
+        TimeMs deadline = 0;
+        TimerId timer; ///< deadline
+        TimerId backoff;
+        AttemptId attempt;
+        std::uint64_t localCall = 0;
+        std::uint64_t hopCall = 0;
+        Reason lastReason = Reason::None;
+        wire::HopResponse response;
+    };
+
+    void begin(std::shared_ptr<CallerRequest> request);
+    void startSession(std::uint64_t id, Work &work, ServiceHandle service);
+    void act(std::uint64_t id, const SessionActions &actions);
+    void dispatch(std::uint64_t id, Work &work, const SessionAction &action);
+    wire::HopRequest hopRequest(const Work &work, const SessionAction &action) const;
+    void attemptFinished(std::uint64_t id, AttemptId attempt, wire::HopResponse &&response, bool reported);
+    void backoff(std::uint64_t id, Work &work, TimeMs until);
+    void cancelAttempt(Work &work);
+    void answer(std::uint64_t id, const SessionAction &action);
+    void callerGone(std::uint64_t id);
+    void onHopRequest(HopCallId call, wire::HopRequest &&request);
+    void onHopCancel(HopCallId call);
+
+    PathState &m_state;
+    IoLoop m_loop;
+    Random m_random;
+    BackendCalls m_calls;
+    HopClient m_hopClient;
+    HopServer m_hopServer;
+    std::unordered_map<std::uint64_t, Work> m_work;
+    std::map<HopCallId, std::uint64_t> m_hopCalls;
+    std::thread m_thread;
+};
+
+} // namespace fulmarledge
--- a/src/adapters/hoplink.cpp
+++ b/src/adapters/hoplink.cpp
@@ -240,8 +240,8 @@
 void HopLink::onBeat()
 {
     const TimeMs now = monotonicMs();
-    const bool late = m_connecting ? now - m_opened >= m_config.connectTimeoutMs
-                                   : now - m_lastProgress >= m_config.silenceMs;
+    const bool late
+        = m_connecting ? now - m_opened >= m_config.connectTimeoutMs : now - m_lastProgress >= m_config.silenceMs;
     if (late) {
         fail();
         return;
--- a/src/adapters/httpserver.cpp
+++ b/src/adapters/httpserver.cpp
@@ -1,10 +1,19 @@
 #include "httpserver.h"
 
 #include <algorithm>
+#include <mutex>
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
+#include <pistache/peer.h>
 #include <strings.h>
-#include <vector>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <thread>
+#include <unistd.h>
+
+#include "httpparser_p.h"
+#include "ioloop.h"
 
 namespace fulmarledge {
 
@@ -13,7 +22,10 @@
 namespace Http = Pistache::Http;
 
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
-constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024;
+constexpr int kTooLarge = 413;
+/// Longer than the longest deadline of a request (600 s), because Pistache counts a connection that waits for its
+/// response as idle.
+constexpr std::chrono::seconds kIdleTimeout{900};
 
 bool equalNames(std::string_view a, std::string_view b)
 {
@@ -31,114 +43,332 @@
     return false;
 }
 
-/// Header field with a name known at run time. Pistache writes typed headers only, and one of each name, so repeated
-/// fields are written by one object.
-class NamedHeader : public Http::Header::Header
+bool isBodylessStatus(int status)
+{
+    return status == 204 || status == 304;
+}
+
+std::string responseHead(int status, const HttpFields &fields, std::size_t bodyBytes, bool head, bool close)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text += Http::codeString(static_cast<Http::Code>(status));
+    text += "\r\n";
+    for (const auto &[name, value] : fields) {
+        if (!isConnectionField(name)) {
+            text.append(name).append(": ").append(value).append("\r\n");
+        }
+    }
+    const std::string_view declared = fieldValue(fields, "Content-Length");
+    if (head && !declared.empty()) {
+        text.append("Content-Length: ").append(declared).append("\r\n");
+    } else if (!isBodylessStatus(status)) {
+        text.append("Content-Length: ").append(std::to_string(bodyBytes)).append("\r\n");
+    }
+    text += close ? "Connection: close\r\n\r\n" : "Connection: Keep-Alive\r\n\r\n";
+    return text;
+}
+
+/// One connection of a caller. Writes go to a duplicate of the socket: the number of Pistache's own descriptor may
+/// belong to another caller by the time that an answer is ready.
+class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    NamedHeader(std::string name, std::string value)
-        : m_name(std::move(name))
-        , m_values{std::move(value)}
+    Connection(int fd, std::string peerIp, std::size_t maxBodyBytes, std::shared_ptr<const HttpCallHandler> handler,
+               IoLoop &writeLoop)
+        : m_fd(::dup(fd))
+        , m_peerIp(std::move(peerIp))
+        , m_maxBodyBytes(maxBodyBytes)
+        , m_parser(maxBodyBytes)
+        , m_handler(std::move(handler))
+        , m_writeLoop(writeLoop)
     {
     }
-
-    void add(std::string value)
+    ~Connection()
     {
-        m_values.push_back(std::move(value));
+        ::close(m_fd);
     }
-    const char *name() const override
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    void onInput(std::string_view bytes);
+    void onDisconnected();
+    void onClosed(std::function<void()> callback);
+    void respond(int status, const HttpFields &fields, std::string body);
+
+private:
+    using Lock = std::unique_lock<std::mutex>;
+
+    void advance(Lock &lock);
+    bool handleNext(Lock &lock);
+    void write(std::string head, std::string body);
+    void writeLater(std::string rest);
+    bool writeSome(std::string &rest) const;
+    void afterWrite();
+
+    const int m_fd;
+    const std::string m_peerIp;
+    const std::size_t m_maxBodyBytes;
+    std::mutex m_mutex;
+    HttpParser m_parser;
+    const std::shared_ptr<const HttpCallHandler> m_handler;
+    IoLoop &m_writeLoop;
+    bool m_busy = false; ///< a call is with the handler, or its response is being written
+    bool m_advancing = false;
+    bool m_closed = false;
+    bool m_closeAfter = false;
+    bool m_head = false;
+    std::function<void()> m_onClosed;
+};
+
+class ConnectionResponder : public HttpResponder
+{
+public:
+    explicit ConnectionResponder(std::shared_ptr<Connection> connection)
+        : m_connection(std::move(connection))
     {
-        return m_name.c_str();
     }
-    void write(std::ostream &stream) const override
+    void onClosed(std::function<void()> callback) override
     {
-        stream << m_values.front();
-        for (std::size_t i = 1; i < m_values.size(); ++i) {
-            stream << "\r\n" << m_name << ": " << m_values[i];
-        }
+        m_connection->onClosed(std::move(callback));
     }
-#ifdef SAFE_HEADER_CAST
-    std::uint64_t hash() const override
+    void send(int status, const HttpFields &fields, std::string body) override
     {
-        return std::hash<std::string>{}(m_name);
+        m_connection->respond(status, fields, std::move(body));
     }
-#endif
 
 private:
-    std::string m_name;
-    std::vector<std::string> m_values;
+    std::shared_ptr<Connection> m_connection;
 };
 
-class PistacheResponder : public HttpResponder
+void Connection::onInput(std::string_view bytes)
 {
-public:
-    explicit PistacheResponder(Http::ResponseWriter writer)
-        : m_writer(std::move(writer))
+    Lock lock(m_mutex);
+    if (m_closed || m_closeAfter) {
+        return;
+    }
+    m_parser.feed(bytes);
+    if (m_busy && m_parser.bufferedBytes() > m_maxBodyBytes + kMaxHeaderBytes) {
+        // A client that pipelines without reading its answers would hold any amount of memory.
+        m_closeAfter = true;
+        ::shutdown(m_fd, SHUT_RDWR);
+        return;
+    }
+    advance(lock);
+}
+
+void Connection::advance(Lock &lock)
+{
+    // A loop, because a response that is sent within the handler would otherwise recurse once per pipelined request.
+    if (m_advancing) {
+        return;
+    }
+    m_advancing = true;
+    while (!m_busy && !m_closed && !m_closeAfter && handleNext(lock)) {
+    }
+    m_advancing = false;
+}
+
+bool Connection::handleNext(Lock &lock)
+{
+    const HttpParser::Result result = m_parser.parse();
+    if (result == HttpParser::Result::Incomplete) {
+        if (m_parser.takeExpectContinue()) {
+            static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+            [[maybe_unused]] const ssize_t sent = ::send(m_fd, kContinue.data(), kContinue.size(), MSG_NOSIGNAL);
+        }
+        return false;
+    }
+    m_busy = true;
+    m_closeAfter = m_parser.wantsClose();
+    if (result == HttpParser::Result::Error) {
+        m_head = false;
+        const int status = m_parser.errorStatus();
+        const std::string text = m_parser.errorText() + "\n";
+        lock.unlock();
+        const std::string reason(reasonName(status == kTooLarge ? Reason::BodyTooLarge : Reason::BadHeader));
+        respond(status, {{"Fulmarledge-Verdict", "not-run"}, {"Fulmarledge-Reason", reason}}, text);
+    } else {
+        HttpCall call = m_parser.take();
+        m_head = call.method == "HEAD";
+        lock.unlock();
+        call.peerIp = m_peerIp;
+        call.responder = std::make_shared<ConnectionResponder>(shared_from_this());
+        (*m_handler)(std::move(call));
+    }
+    lock.lock();
+    return true;
+}
+
+void Connection::onDisconnected()
+{
+    std::function<void()> callback;
     {
+        const Lock lock(m_mutex);
+        m_closed = true;
+        callback.swap(m_onClosed);
+    }
+    if (callback) {
+        callback();
     }
+}
 
-    void send(int status, const HttpFields &fields, std::string body) override
+void Connection::onClosed(std::function<void()> callback)
+{
     {
-        std::vector<std::shared_ptr<NamedHeader>> headers;
-        for (const auto &field : fields) {
-            if (isConnectionField(field.first)) {
-                continue;
-            }
-            const auto isSame = [&](const auto &header) { return equalNames(header->name(), field.first); };
-            const auto known = std::find_if(headers.begin(), headers.end(), isSame);
-            if (known != headers.end()) {
-                (*known)->add(field.second);
-            } else {
-                headers.push_back(std::make_shared<NamedHeader>(field.first, field.second));
-            }
+        const Lock lock(m_mutex);
+        if (!m_closed) {
+            m_onClosed = std::move(callback);
+            return;
         }
-        for (const auto &header : headers) {
-            m_writer.headers().add(header);
+    }
+    callback();
+}
+
+void Connection::respond(int status, const HttpFields &fields, std::string body)
+{
+    bool head = false;
+    bool close = false;
+    {
+        const Lock lock(m_mutex);
+        m_onClosed = nullptr;
+        if (m_closed) {
+            return;
         }
-        m_writer.send(static_cast<Http::Code>(status), body);
+        head = m_head;
+        close = m_closeAfter;
+    }
+    std::string text = responseHead(status, fields, body.size(), head, close);
+    if (head || isBodylessStatus(status)) {
+        body.clear();
     }
+    write(std::move(text), std::move(body));
+}
 
-private:
-    Http::ResponseWriter m_writer;
-};
+void Connection::write(std::string head, std::string body)
+{
+    std::array<iovec, 2> parts{{{head.data(), head.size()}, {body.data(), body.size()}}};
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = body.empty() ? 1 : 2;
+    const ssize_t sent = ::sendmsg(m_fd, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    const std::size_t total = head.size() + body.size();
+    const std::size_t done = static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+    if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+        return;
+    }
+    if (done < total) {
+        if (done < head.size()) {
+            head.erase(0, done);
+            head.append(body);
+            writeLater(std::move(head));
+        } else {
+            body.erase(0, done - head.size());
+            writeLater(std::move(body));
+        }
+        return;
+    }
+    afterWrite();
+}
+
+bool Connection::writeSome(std::string &rest) const
+{
+    const ssize_t sent = ::send(m_fd, rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0) {
+        return errno == EAGAIN || errno == EINTR;
+    }
+    rest.erase(0, static_cast<std::size_t>(sent));
+    return true;
+}
+
+void Connection::writeLater(std::string rest)
+{
+    m_writeLoop.post([self = shared_from_this(), left = std::make_shared<std::string>(std::move(rest))] {
+        self->m_writeLoop.addFd(self->m_fd, EPOLLOUT, [self, left](std::uint32_t) {
+            const bool open = self->writeSome(*left);
+            if (open && !left->empty()) {
+                return;
+            }
+            const std::shared_ptr<Connection> keep = self;
+            keep->m_writeLoop.removeFd(keep->m_fd);
+            if (open) {
+                keep->afterWrite();
+            }
+        });
+    });
+}
+
+void Connection::afterWrite()
+{
+    Lock lock(m_mutex);
+    m_busy = false;
+    if (m_closeAfter) {
+        ::shutdown(m_fd, SHUT_WR);
+        return;
+    }
+    advance(lock);
+}
 
 class CallHandler : public Http::Handler
 {
 public:
     HTTP_PROTOTYPE(CallHandler)
 
-    explicit CallHandler(HttpCallHandler handler)
+    CallHandler(std::shared_ptr<const HttpCallHandler> handler, std::size_t maxBodyBytes, IoLoop &writeLoop)
         : m_handler(std::move(handler))
+        , m_maxBodyBytes(maxBodyBytes)
+        , m_writeLoop(&writeLoop)
     {
     }
 
-    void onRequest(const Http::Request &request, Http::ResponseWriter response) override
+    void onRequest(const Http::Request &, Http::ResponseWriter) override
     {
-        HttpCall call;
-        call.method = Http::methodString(request.method());
-        call.path = request.resource();
-        call.query = request.query().as_str();
-        for (const auto &[name, raw] : request.headers().rawList()) {
-            call.fields.emplace_back(raw.name(), raw.value());
-        }
-        call.body = request.body();
-        call.peerIp = request.address().host();
-        call.responder = std::make_shared<PistacheResponder>(std::move(response));
-        m_handler(std::move(call));
     }
 
 private:
-    HttpCallHandler m_handler;
+    static constexpr const char *kConnection = "fulmarledge";
+
+    void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        // Pistache looks up the time of its own parser to find idle connections.
+        peer->putData(ParserData, std::make_shared<Http::RequestParser>(0));
+        peer->putData(
+            kConnection,
+            std::make_shared<Connection>(peer->fd(), peer->address().host(), m_maxBodyBytes, m_handler, *m_writeLoop));
+    }
+    void onInput(const char *buffer, std::size_t length, const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        getParser(peer)->reset();
+        std::static_pointer_cast<Connection>(peer->getData(kConnection))->onInput({buffer, length});
+    }
+    void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        if (const std::shared_ptr<void> connection = peer->tryGetData(kConnection)) {
+            std::static_pointer_cast<Connection>(connection)->onDisconnected();
+        }
+    }
+
+    std::shared_ptr<const HttpCallHandler> m_handler;
+    std::size_t m_maxBodyBytes;
+    IoLoop *m_writeLoop;
 };
 
 } // namespace
 
 struct HttpServer::Shared {
     explicit Shared(const Pistache::Address &address)
-        : endpoint(address)
+        : writer([this] { writeLoop.run(); })
+        , endpoint(address)
     {
     }
+    ~Shared()
+    {
+        endpoint.shutdown();
+        writeLoop.stop();
+        writer.join();
+    }
 
+    IoLoop writeLoop; ///< finishes responses that the socket does not take at once
+    std::thread writer;
     Http::Endpoint endpoint;
 };
 
@@ -148,10 +378,12 @@
     auto options = Http::Endpoint::options()
                        .threads(settings.threads)
                        .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
-                       .maxRequestSize(settings.maxBodyBytes + kMaxHeaderBytes)
-                       .maxResponseSize(kMaxResponseBytes);
+                       .headerTimeout(kIdleTimeout)
+                       .bodyTimeout(kIdleTimeout)
+                       .keepaliveTimeout(kIdleTimeout);
     m_shared->endpoint.init(options);
-    m_shared->endpoint.setHandler(std::make_shared<CallHandler>(std::move(handler)));
+    m_shared->endpoint.setHandler(std::make_shared<CallHandler>(
+        std::make_shared<const HttpCallHandler>(std::move(handler)), settings.maxBodyBytes, m_shared->writeLoop));
     m_shared->endpoint.serveThreaded();
 }
 
@@ -162,10 +394,7 @@
 
 void HttpServer::stop()
 {
-    if (m_shared) {
-        m_shared->endpoint.shutdown();
-        m_shared.reset();
-    }
+    m_shared.reset();
 }
 
 } // namespace fulmarledge
--- a/src/adapters/httpserver.h
+++ b/src/adapters/httpserver.h
@@ -15,12 +15,15 @@
 {
 public:
     virtual ~HttpResponder() = default;
+    /// Runs `callback` on any thread when the caller closes its connection before the response is sent.
+    virtual void onClosed(std::function<void()> callback) = 0;
+    /// For a HEAD call, a `Content-Length` field is passed on and the body is not sent.
     virtual void send(int status, const HttpFields &fields, std::string body) = 0;
 };
 
 struct HttpCall {
     std::string method;
-    std::string path;
+    std::string path; ///< as received, not decoded
     std::string query; ///< with the leading "?", or empty
     HttpFields fields;
     std::string body;
@@ -30,7 +33,8 @@
 
 using HttpCallHandler = std::function<void(HttpCall)>;
 
-/// HTTP/1.1 server. The handler runs on the server's threads.
+/// HTTP/1.1 server. Pistache accepts connections and reads from them; messages are parsed and written here. The handler
+/// runs on the server's threads. Calls of one connection are handled one after another.
 class HttpServer
 {
 public:
--- /dev/null
+++ b/src/adapters/localbackend.cpp
@@ -0,0 +1,214 @@
+#include "localbackend_p.h"
+
+#include <charconv>
+#include <utility>
+#include <vector>
+
+namespace fulmarledge {
+
+namespace {
+
+std::uint32_t attemptOf(const wire::HopRequest &request)
+{
+    for (const wire::HttpField &field : request.fields) {
+        if (field.name == "Fulmarledge-Attempt") {
+            std::uint32_t attempt = 1;
+            std::from_chars(field.value.data(), field.value.data() + field.value.size(), attempt);
+            return attempt;
+        }
+    }
+    return 1;
+}
+
+} // namespace
+
+wire::HopResponse refusal(Verdict verdict, Reason reason, TimeMs retryAfterMs)
+{
+    wire::HopResponse response;
+    response.__set_verdict(static_cast<wire::Verdict::type>(verdict));
+    response.__set_reason(static_cast<std::int32_t>(reason));
+    response.__set_retryAfterMs(static_cast<std::int32_t>(retryAfterMs));
+    return response;
+}
+
+LocalBackend::LocalBackend(TimeMs now)
+    : m_gauge(m_guard.gauge())
+    , m_keys(now)
+{
+}
+
+void LocalBackend::set(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
+                       wire::HostState::type state, TimeMs now)
+{
+    Lock lock(m_mutex);
+    if (m_address != address) {
+        m_address = address;
+        m_baseUrl = "http://" + address.ip + ":" + std::to_string(address.port);
+    }
+    const bool changed = state != m_state || serviceName != m_service || slots != m_slots;
+    m_state = state;
+    m_service = serviceName;
+    m_slots = slots;
+    if (!changed || m_leaving) {
+        return;
+    }
+    if (state == wire::HostState::Serving) {
+        m_guard.serve(serviceName, slots, now);
+    } else {
+        m_guard.drain();
+    }
+    settle(lock, now);
+}
+
+void LocalBackend::ownershipChanged(TimeMs now)
+{
+    const Lock lock(m_mutex);
+    m_keys.ownershipChanged(now);
+}
+
+void LocalBackend::drain(std::function<void()> idle, TimeMs now)
+{
+    Lock lock(m_mutex);
+    m_leaving = true;
+    m_onIdle = std::move(idle);
+    m_guard.drain();
+    settle(lock, now);
+}
+
+std::optional<Admission> LocalBackend::answerByKey(const wire::HopRequest &request, TimeMs now, KeyEntryId &key)
+{
+    if (request.idempotencyKey.empty()) {
+        return std::nullopt;
+    }
+    KeyedRequest keyed;
+    keyed.service = request.serviceName;
+    keyed.key = request.idempotencyKey;
+    keyed.fingerprint = requestFingerprint(request.method, request.target, request.body);
+    keyed.attempt = attemptOf(request);
+    const KeyDecision decision = m_keys.begin(keyed, now);
+    if (decision.action == KeyAction::Execute) {
+        key = decision.id;
+        return std::nullopt;
+    }
+    Admission admission;
+    admission.answer = refusal(decision.verdict, decision.reason, decision.retryAfterMs);
+    admission.answer.__set_status(decision.status);
+    if (decision.action == KeyAction::Replay) {
+        admission.answer.__set_fields(decision.answer->fields);
+        admission.answer.__set_body(decision.answer->body);
+    }
+    return admission;
+}
+
+Admission LocalBackend::admit(const wire::HopRequest &request, TimeMs deadline, TimeMs now, Resume resume)
+{
+    Lock lock(m_mutex);
+    Admission admission;
+    if (std::optional<Admission> known = answerByKey(request, now, admission.key)) {
+        known->answer.__set_outstanding(static_cast<std::int32_t>(m_guard.running() + m_guard.waiting()));
+        return std::move(*known);
+    }
+    GuardRequest guarded;
+    guarded.service = request.serviceName;
+    guarded.caller = request.caller;
+    guarded.serviceClass = request.bulk ? ServiceClass::Bulk : ServiceClass::Interactive;
+    guarded.deadline = deadline;
+    const GuardDecision decision = m_guard.submit(guarded, now);
+    admission.entry = decision.id;
+    if (decision.state == GuardState::Run) {
+        admission.state = AdmissionState::Run;
+    } else if (decision.state == GuardState::Wait) {
+        admission.state = AdmissionState::Wait;
+        m_waiting.emplace(decision.id.value, std::move(resume));
+    } else {
+        admission.answer = refusal(Verdict::NotRun, decision.reason, decision.retryAfterMs);
+        admission.answer.__set_outstanding(static_cast<std::int32_t>(m_guard.running() + m_guard.waiting()));
+        finishKey(admission.key, admission.answer, now);
+    }
+    settle(lock, now);
+    return admission;
+}
+
+void LocalBackend::finishKey(KeyEntryId key, const wire::HopResponse &response, TimeMs now)
+{
+    if (isValid(key)) {
+        m_keys.finish(key, static_cast<Verdict>(response.verdict), {response.status, response.fields, response.body},
+                      now);
+    }
+}
+
+void LocalBackend::finish(GuardEntryId entry, KeyEntryId key, const wire::HopResponse &response, TimeMs now)
+{
+    Lock lock(m_mutex);
+    finishKey(key, response, now);
+    m_guard.finish(entry, response.verdict == wire::Verdict::Answered, now);
+    settle(lock, now);
+}
+
+void LocalBackend::release(KeyEntryId key, TimeMs now)
+{
+    const Lock lock(m_mutex);
+    finishKey(key, refusal(Verdict::NotRun, Reason::None, 0), now);
+}
+
+void LocalBackend::cancel(GuardEntryId entry, KeyEntryId key, bool dispatched, TimeMs now)
+{
+    Lock lock(m_mutex);
+    finishKey(key, refusal(dispatched ? Verdict::MayHaveRun : Verdict::NotRun, Reason::CallerGone, 0), now);
+    if (m_guard.cancel(entry) == GuardCancel::Running) {
+        m_guard.finish(entry, false, now);
+    }
+    m_waiting.erase(entry.value);
+    settle(lock, now);
+}
+
+void LocalBackend::poll(TimeMs now)
+{
+    Lock lock(m_mutex);
+    settle(lock, now);
+}
+
+void LocalBackend::settle(Lock &lock, TimeMs now)
+{
+    std::vector<std::pair<Resume, GuardDecision>> resumed;
+    while (const std::optional<GuardDecision> decision = m_guard.next(now)) {
+        const auto found = m_waiting.find(decision->id.value);
+        if (found != m_waiting.end()) {
+            resumed.emplace_back(std::move(found->second), *decision);
+            m_waiting.erase(found);
+        } else if (decision->state == GuardState::Run) {
+            m_guard.finish(decision->id, false, now);
+        }
+    }
+    std::function<void()> idle;
+    if (m_leaving && m_guard.isIdle()) {
+        idle.swap(m_onIdle);
+    }
+    lock.unlock();
+    for (const auto &[resume, decision] : resumed) {
+        resume(decision);
+    }
+    if (idle) {
+        idle();
+    }
+}
+
+std::optional<TimeMs> LocalBackend::nextWakeup()
+{
+    const Lock lock(m_mutex);
+    return m_waiting.empty() ? std::nullopt : m_guard.nextWakeup();
+}
+
+std::string LocalBackend::baseUrl()
+{
+    const Lock lock(m_mutex);
+    return m_baseUrl;
+}
+
+std::uint32_t LocalBackend::slots()
+{
+    const Lock lock(m_mutex);
+    return m_slots;
+}
+
+} // namespace fulmarledge
--- a/src/adapters/requestheaders.cpp
+++ b/src/adapters/requestheaders.cpp
@@ -20,7 +20,7 @@
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-template<std::size_t size>
+template <std::size_t size>
 bool isOneOf(std::string_view name, const std::array<std::string_view, size> &names)
 {
     return std::any_of(names.begin(), names.end(), [name](std::string_view known) { return equalNames(name, known); });
@@ -30,8 +30,9 @@
 bool isHopByHop(std::string_view name)
 {
     static constexpr std::array<std::string_view, 12> kNames{
-        "Connection",       "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
-        "Trailer",          "Upgrade",    "Transfer-Encoding", "Content-Length",     "Host",                "Expect"};
+        "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+        "TE",         "Trailer",    "Upgrade",          "Transfer-Encoding",  "Content-Length",
+        "Host",       "Expect"};
     return isOneOf(name, kNames);
 }
 
--- /dev/null
+++ b/src/adapters/requestpath.cpp
@@ -0,0 +1,185 @@
+#include "requestpath.h"
+
+#include <utility>
+#include <vector>
+#include <xxhash.h>
+
+#include "dataworker_p.h"
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kTooLarge = 413;
+constexpr int kUnavailable = 503;
+
+} // namespace
+
+struct RequestPath::Shared {
+    Shared(const RequestPathSettings &settings, Metrics &metrics)
+        : state(settings, metrics)
+    {
+    }
+
+    void onCall(HttpCall call);
+    bool reserve(std::size_t bodyBytes);
+    DataWorker &workerOfThread();
+    std::string newRequestId();
+
+    PathState state;
+    std::atomic<Reason> refusing{Reason::NotReady};
+    std::atomic<std::size_t> nextWorker{0};
+    std::vector<std::unique_ptr<DataWorker>> workers;
+    std::unique_ptr<HopListener> listener;
+    std::unique_ptr<HttpServer> server;
+    std::uint64_t idPrefix = 0;
+    std::atomic<std::uint64_t> nextId{1};
+};
+
+DataWorker &RequestPath::Shared::workerOfThread()
+{
+    // Each server thread hands its requests to one data thread, whose connections and caches stay warm.
+    thread_local const std::size_t kIndex = nextWorker.fetch_add(1);
+    return *workers[kIndex % workers.size()];
+}
+
+std::string RequestPath::Shared::newRequestId()
+{
+    static constexpr char kDigits[] = "0123456789abcdef";
+    const std::uint64_t number = idPrefix + nextId.fetch_add(1, std::memory_order_relaxed);
+    std::string id(16, '0');
+    for (std::size_t i = 0; i < id.size(); ++i) {
+        id[i] = kDigits[(number >> (60 - 4 * i)) & 0xF];
+    }
+    return id;
+}
+
+bool RequestPath::Shared::reserve(std::size_t bodyBytes)
+{
+    const RequestPathSettings &settings = state.settings;
+    const std::uint64_t count = state.outstanding.fetch_add(1, std::memory_order_relaxed) + 1;
+    const std::uint64_t bytes = state.outstandingBytes.fetch_add(bodyBytes, std::memory_order_relaxed) + bodyBytes;
+    if (count <= settings.maxOutstanding && bytes <= settings.maxOutstandingBytes) {
+        return true;
+    }
+    state.outstanding.fetch_sub(1, std::memory_order_relaxed);
+    state.outstandingBytes.fetch_sub(bodyBytes, std::memory_order_relaxed);
+    return false;
+}
+
+void RequestPath::Shared::onCall(HttpCall call)
+{
+    const std::shared_ptr<HttpResponder> responder = call.responder;
+    const Reason reason = refusing.load(std::memory_order_acquire);
+    if (reason != Reason::None) {
+        sendRefusal(state, *responder, kUnavailable, reason, "this node does not serve callers now");
+        return;
+    }
+    if (call.body.size() > state.settings.maxBodyBytes) {
+        sendRefusal(state, *responder, kTooLarge, Reason::BodyTooLarge,
+                    "the body is larger than " + std::to_string(state.settings.maxBodyBytes) + " bytes");
+        return;
+    }
+    LastReason error;
+    std::optional<CallerFields> fields = parseCallerFields(call, error);
+    if (!fields) {
+        sendRefusal(state, *responder, kBadRequest, Reason::BadHeader, error.text());
+        return;
+    }
+    if (!reserve(call.body.size())) {
+        sendRefusal(state, *responder, kUnavailable, Reason::QueueFull, "too many requests in progress at this node");
+        return;
+    }
+    if (fields->requestId.empty()) {
+        fields->requestId = newRequestId();
+    }
+    auto request = std::make_shared<CallerRequest>();
+    request->call = std::move(call);
+    request->fields = std::move(*fields);
+    request->received = monotonicMs();
+    workerOfThread().submit(std::move(request));
+}
+
+RequestPath::RequestPath(const RequestPathSettings &settings, Metrics &metrics)
+    : m_shared(std::make_unique<Shared>(settings, metrics))
+{
+    // Ids of two processes differ, also of two processes of one host.
+    const std::string seed = settings.host + ":" + std::to_string(wallClockMs());
+    m_shared->idPrefix = XXH3_64bits(seed.data(), seed.size());
+}
+
+RequestPath::~RequestPath()
+{
+    stop();
+}
+
+void RequestPath::start()
+{
+    const RequestPathSettings &settings = m_shared->state.settings;
+    for (int i = 0; i < settings.dataThreads; ++i) {
+        m_shared->workers.push_back(std::make_unique<DataWorker>(m_shared->state));
+    }
+    m_shared->listener = std::make_unique<HopListener>(
+        m_shared->workers.front()->loop(), settings.hop,
+        [this, next = 0U](int fd) mutable { m_shared->workers[next++ % m_shared->workers.size()]->acceptHop(fd); });
+    m_shared->server = std::make_unique<HttpServer>(
+        HttpServer::Settings{settings.caller, settings.httpThreads, settings.maxBodyBytes},
+        [this](HttpCall call) { m_shared->onCall(std::move(call)); });
+    for (const auto &worker : m_shared->workers) {
+        worker->start();
+    }
+}
+
+bool RequestPath::publish(std::shared_ptr<const Snapshot> snapshot)
+{
+    return m_shared->state.views.publish(std::move(snapshot), monotonicMs());
+}
+
+void RequestPath::setReady(bool ready, Reason reason)
+{
+    m_shared->refusing.store(ready ? Reason::None : reason, std::memory_order_release);
+}
+
+void RequestPath::setLocalBackend(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
+                                  wire::HostState::type state, std::int32_t reportedLoad)
+{
+    m_shared->state.backend.set(address, serviceName, slots, state, monotonicMs());
+    m_shared->state.metrics.gauge("backend-reported-load", {}, reportedLoad);
+}
+
+void RequestPath::ownershipChanged()
+{
+    m_shared->state.backend.ownershipChanged(monotonicMs());
+}
+
+void RequestPath::drain(std::function<void()> idle)
+{
+    m_shared->state.backend.drain(std::move(idle), monotonicMs());
+}
+
+void RequestPath::stop()
+{
+    // The server goes after the data threads, which write responses through it, and before their sessions, to which
+    // it reports closed connections.
+    for (const auto &worker : m_shared->workers) {
+        worker->stop();
+    }
+    m_shared->listener.reset();
+    m_shared->server.reset();
+    m_shared->workers.clear();
+}
+
+RequestPathStats RequestPath::stats() const
+{
+    const PathState &state = m_shared->state;
+    RequestPathStats stats;
+    stats.outstanding = state.outstanding.load(std::memory_order_relaxed);
+    stats.atBackend = state.backend.gauge()->outstanding.load(std::memory_order_relaxed);
+    stats.dispatched = state.dispatched.load(std::memory_order_relaxed);
+    stats.refused = state.refused.load(std::memory_order_relaxed);
+    stats.lateAnswers = state.counters.lateAnswers.load(std::memory_order_relaxed);
+    return stats;
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/adapters/viewholder.cpp
@@ -0,0 +1,77 @@
+#include <urcu/urcu-memb.h>
+
+#include "viewholder_p.h"
+
+namespace fulmarledge {
+
+namespace {
+
+/// Registers the calling thread with liburcu for its lifetime.
+class ThreadRegistration
+{
+public:
+    ThreadRegistration()
+    {
+        urcu_memb_register_thread();
+    }
+    ~ThreadRegistration()
+    {
+        urcu_memb_unregister_thread();
+    }
+    ThreadRegistration(const ThreadRegistration &) = delete;
+    ThreadRegistration &operator=(const ThreadRegistration &) = delete;
+};
+
+} // namespace
+
+ViewHolder::ViewHolder(std::string host, std::string zone, std::shared_ptr<const SlotGauge> ownSlots,
+                       const BalancerConfig &balancer, const RetryConfig &retry)
+    : m_balancer(std::move(host), std::move(zone), std::move(ownSlots), balancer)
+    , m_retry(retry)
+{
+}
+
+ViewHolder::~ViewHolder()
+{
+    const Node *last = m_current.exchange(nullptr);
+    urcu_memb_synchronize_rcu();
+    delete last;
+}
+
+bool ViewHolder::publish(std::shared_ptr<const Snapshot> snapshot, TimeMs now)
+{
+    if (!snapshot || !snapshot->isConsistent()) {
+        return false;
+    }
+    const std::lock_guard lock(m_mutex);
+    const Node *previous = m_current.load(std::memory_order_relaxed);
+    if (previous != nullptr && snapshot->version() < (*previous)->view->snapshot().version()) {
+        return false;
+    }
+    auto state = std::make_shared<RoutingState>();
+    std::map<std::string, std::shared_ptr<RetryBudget>, std::less<>> budgets;
+    for (const SnapshotService &service : snapshot->services()) {
+        std::shared_ptr<RetryBudget> &budget = budgets[service.spec.name];
+        const auto known = m_budgets.find(service.spec.name);
+        budget = known != m_budgets.end() ? known->second : std::make_shared<RetryBudget>(m_retry);
+        state->budgets.push_back(budget);
+    }
+    m_budgets = std::move(budgets);
+    state->view = m_balancer.attach(std::move(snapshot), now);
+    m_current.store(new Node(std::move(state)), std::memory_order_release);
+    urcu_memb_synchronize_rcu();
+    delete previous;
+    return true;
+}
+
+std::shared_ptr<const RoutingState> ViewHolder::share() const
+{
+    thread_local const ThreadRegistration kRegistration;
+    urcu_memb_read_lock();
+    const Node *node = m_current.load(std::memory_order_acquire);
+    std::shared_ptr<const RoutingState> state = node != nullptr ? *node : nullptr;
+    urcu_memb_read_unlock();
+    return state;
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/adapters/viewholder_p.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "fulmarledge/balancer.h"
+#include "fulmarledge/retry.h"
+
+namespace fulmarledge {
+
+/// Routing state of new requests: the balancer's view and the retry budget of each service.
+struct RoutingState {
+    std::shared_ptr<const BalancerView> view;
+    std::vector<std::shared_ptr<RetryBudget>> budgets; ///< by ServiceHandle
+};
+
+/// Publishes the routing state by read-copy-update. Readers take no lock.
+class ViewHolder
+{
+public:
+    ViewHolder(std::string host, std::string zone, std::shared_ptr<const SlotGauge> ownSlots,
+               const BalancerConfig &balancer, const RetryConfig &retry);
+    ~ViewHolder();
+    ViewHolder(const ViewHolder &) = delete;
+    ViewHolder &operator=(const ViewHolder &) = delete;
+
+    bool publish(std::shared_ptr<const Snapshot> snapshot, TimeMs now);
+    /// The current state, or nullptr before the first publication.
+    std::shared_ptr<const RoutingState> share() const;
+
+private:
+    using Node = std::shared_ptr<const RoutingState>;
+
+    std::mutex m_mutex;
+    Balancer m_balancer;
+    RetryConfig m_retry;
+    std::map<std::string, std::shared_ptr<RetryBudget>, std::less<>> m_budgets;
+    std::atomic<const Node *> m_current{nullptr};
+};
+
+} // namespace fulmarledge
