--- a/src/adapters/httpserver.cpp
+++ b/src/adapters/httpserver.cpp
@@ -94,6 +94,7 @@
     void onDisconnected();
     void onClosed(std::function<void()> callback);
     void respond(int status, const HttpFields &fields, std::string body);
+    void sendRawAndClose(const std::string &bytes);
 
 private:
     using Lock = std::unique_lock<std::mutex>;
@@ -135,6 +136,10 @@
     {
         m_connection->respond(status, fields, std::move(body));
     }
+    void sendRawAndClose(const std::string &bytes) override
+    {
+        m_connection->sendRawAndClose(bytes);
+    }
 
 private:
     std::shared_ptr<Connection> m_connection;
@@ -244,6 +249,17 @@
     write(std::move(text), std::move(body));
 }
 
+void Connection::sendRawAndClose(const std::string &bytes)
+{
+    {
+        const Lock lock(m_mutex);
+        m_onClosed = nullptr;
+        m_closeAfter = true;
+    }
+    [[maybe_unused]] const ssize_t sent = ::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    ::shutdown(m_fd, SHUT_RDWR);
+}
+
 void Connection::write(std::string head, std::string body)
 {
     std::array<iovec, 2> parts{{{head.data(), head.size()}, {body.data(), body.size()}}};
--- a/src/adapters/httpserver.h
+++ b/src/adapters/httpserver.h
@@ -19,6 +19,8 @@
     virtual void onClosed(std::function<void()> callback) = 0;
     /// For a HEAD call, a `Content-Length` field is passed on and the body is not sent.
     virtual void send(int status, const HttpFields &fields, std::string body) = 0;
+    /// Writes `bytes` as they are and closes the connection. For stand-ins that break connections on purpose.
+    virtual void sendRawAndClose(const std::string &bytes) = 0;
 };
 
 struct HttpCall {
--- /dev/null
+++ b/src/programs/answerbody_p.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <xxhash.h>
+
+namespace fulmarledge {
+
+/// Body of the backend stand-in's answer: a line with the request id, the payload's size and a checksum over both, then
+/// the payload. Bound to the request, so that the answer to another request is noticed.
+inline std::string answerBody(const std::string &requestId, std::size_t payloadBytes)
+{
+    const std::uint64_t seed = XXH3_64bits(requestId.data(), requestId.size());
+    std::string payload(payloadBytes, '\0');
+    std::uint64_t state = seed | 1U;
+    for (char &c : payload) {
+        state ^= state << 13U;
+        state ^= state >> 7U;
+        state ^= state << 17U;
+        c = static_cast<char>('a' + state % 26);
+    }
+    const std::uint64_t checksum = XXH3_64bits_withSeed(payload.data(), payload.size(), seed);
+    return requestId + " " + std::to_string(payloadBytes) + " " + std::to_string(checksum) + "\n" + payload;
+}
+
+/// Whether `body` is the whole answer to `requestId` with a payload of `payloadBytes`.
+inline bool isWholeAnswer(const std::string &body, const std::string &requestId, std::size_t payloadBytes)
+{
+    return body == answerBody(requestId, payloadBytes);
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/backendstandin_main.cpp
@@ -0,0 +1,68 @@
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "backendstandin_p.h"
+
+namespace options = boost::program_options;
+using namespace fulmarledge;
+
+namespace {
+
+constexpr int kUsage = 2;
+
+options::options_description describe(BackendSettings &settings)
+{
+    options::options_description all("Options of fulmarledge-backend-standin");
+    auto add = all.add_options();
+    add("help", "print this text");
+    add("address", options::value(&settings.address.ip)->default_value("127.0.0.1"), "IP address to listen on");
+    add("port", options::value(&settings.address.port)->required(), "port to listen on");
+    add("node-address", options::value(&settings.nodeAdmin.ip)->default_value("127.0.0.1"),
+        "IP address of the node's admin port");
+    add("node-port", options::value(&settings.nodeAdmin.port)->default_value(0),
+        "the node's admin port; 0 announces to nobody");
+    add("service", options::value(&settings.service)->default_value("standin"), "name of the service");
+    add("slots", options::value(&settings.slots)->default_value(settings.slots), "slots to announce");
+    add("threads", options::value(&settings.threads)->default_value(settings.threads), "server threads");
+    add("service-ms", options::value(&settings.serviceMs)->default_value(0),
+        "time that one request takes, in milliseconds");
+    add("cold-start-ms", options::value(&settings.coldStartMs)->default_value(0),
+        "time in which it announces \"starting\", in milliseconds");
+    return all;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    BackendSettings settings;
+    const options::options_description all = describe(settings);
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, all), values);
+        if (values.count("help") > 0) {
+            std::cout << all;
+            return 0;
+        }
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << "\n" << all;
+        return kUsage;
+    }
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    try {
+        BackendStandin standin(settings);
+        int signal = 0;
+        sigwait(&signals, &signal);
+        standin.drain();
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
