--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -136,7 +136,10 @@
     std::uint64_t link = 0;
     std::int64_t id = 0;
 
-    auto operator<=>(const HopCallId &) const = default;
+    bool operator<(const HopCallId &other) const
+    {
+        return link != other.link ? link < other.link : id < other.id;
+    }
 };
 
 /// Connections accepted from other nodes by one thread. Belongs to the loop's thread.
--- a/src/adapters/httpserver.cpp
+++ b/src/adapters/httpserver.cpp
@@ -304,10 +304,10 @@
             if (open && !left->empty()) {
                 return;
             }
-            const std::shared_ptr<Connection> keep = self;
-            keep->m_writeLoop.removeFd(keep->m_fd);
+            // The event loop holds this handler, and with it the connection, until it returns.
+            self->m_writeLoop.removeFd(self->m_fd);
             if (open) {
-                keep->afterWrite();
+                self->afterWrite();
             }
         });
     });
--- /dev/null
+++ b/src/programs/bench_load.cpp
@@ -0,0 +1,223 @@
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <random>
+#include <thread>
+
+#include "answerbody_p.h"
+#include "bench_client_p.h"
+#include "bench_load_p.h"
+#include "ioloop.h"
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr int kWarmUpCalls = 50;
+
+std::vector<std::unique_ptr<BenchClient>> connectAll(const std::vector<SocketAddress> &targets)
+{
+    std::vector<std::unique_ptr<BenchClient>> clients;
+    clients.reserve(targets.size());
+    for (const SocketAddress &target : targets) {
+        clients.push_back(std::make_unique<BenchClient>(target));
+    }
+    return clients;
+}
+
+/// One caller: its connections, its ids and what it was told.
+class Caller
+{
+public:
+    Caller(const BenchSettings &settings, int index)
+        : m_settings(settings)
+        , m_clients(connectAll(settings.targets))
+        , m_index(static_cast<std::size_t>(index))
+        , m_prefix(std::to_string(wallClockMs()) + "-" + std::to_string(index) + "-")
+        , m_random(static_cast<std::uint32_t>(index) + 1)
+    {
+    }
+
+    void run(std::int64_t untilUs)
+    {
+        while (monotonicUs() < untilUs) {
+            one();
+            if (m_settings.thinkMs > 0) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(m_settings.thinkMs));
+            }
+        }
+    }
+    BenchTotals totals;
+
+private:
+    void one();
+    bool send(const BenchRequest &request, BenchOutcome &outcome);
+    void count(const BenchResponse &response, const BenchRequest &request, BenchOutcome &outcome, double ms);
+
+    const BenchSettings &m_settings;
+    std::vector<std::unique_ptr<BenchClient>> m_clients;
+    std::size_t m_index;
+    std::string m_prefix;
+    std::minstd_rand m_random;
+    std::uint64_t m_next = 0;
+};
+
+void Caller::one()
+{
+    BenchRequest request;
+    request.id = m_prefix + std::to_string(m_next++);
+    request.target = m_settings.path + "?size=" + std::to_string(m_settings.size);
+    request.timeoutMs = m_settings.timeoutMs;
+    const int kind = static_cast<int>(m_random() % 100);
+    const bool keyed = kind < m_settings.keyedPercent;
+    BenchOutcome outcome;
+    outcome.id = request.id;
+    outcome.once = keyed || kind < m_settings.keyedPercent + m_settings.postPercent;
+    request.method = outcome.once ? "POST" : "GET";
+    if (outcome.once) {
+        request.body.assign(m_settings.bodyBytes, 'b');
+    }
+    if (keyed) {
+        request.key = request.id;
+    }
+    if (!send(request, outcome) && keyed) {
+        // The repeat of a keyed request must not run a second time, through whichever node it comes.
+        send(request, outcome);
+    }
+    totals.outcomes.push_back(std::move(outcome));
+}
+
+/// @return false when the outcome is uncertain
+bool Caller::send(const BenchRequest &request, BenchOutcome &outcome)
+{
+    BenchClient &client = *m_clients[m_index++ % m_clients.size()];
+    ++totals.requests;
+    const std::int64_t startUs = monotonicUs();
+    const std::optional<BenchResponse> response = client.call(request);
+    if (!response) {
+        ++(client.mayHaveSent() ? totals.lost : totals.notRun);
+        outcome.notRun = outcome.notRun && !client.mayHaveSent();
+        return !client.mayHaveSent();
+    }
+    const std::uint64_t uncertain = totals.mayHaveRun;
+    count(*response, request, outcome, static_cast<double>(monotonicUs() - startUs) / 1000);
+    return uncertain == totals.mayHaveRun;
+}
+
+void Caller::count(const BenchResponse &response, const BenchRequest &request, BenchOutcome &outcome, double ms)
+{
+    ++totals.statuses[response.status];
+    const std::string_view verdict = fieldValue(response.fields, "Fulmarledge-Verdict");
+    if (!verdict.empty() && verdict != "answered") {
+        const std::string reason(fieldValue(response.fields, "Fulmarledge-Reason"));
+        ++totals.reasons[std::string(verdict) + ":" + (reason.empty() ? "shed-load" : reason)];
+    }
+    if (verdict == "not-run") {
+        ++totals.notRun;
+        // A repeat that is refused says nothing about the first attempt.
+        outcome.notRun = !outcome.answered && request.key.empty();
+    } else if (verdict == "may-have-run") {
+        ++totals.mayHaveRun;
+    } else {
+        ++totals.answered;
+        outcome.answered = true;
+        totals.answeredMs.push_back(ms);
+        totals.wrongAnswers
+            += response.status == 200 && isWholeAnswer(response.body, request.id, m_settings.size) ? 0 : 1;
+    }
+}
+
+void add(BenchTotals &sum, BenchTotals &&part)
+{
+    sum.requests += part.requests;
+    sum.answered += part.answered;
+    sum.notRun += part.notRun;
+    sum.mayHaveRun += part.mayHaveRun;
+    sum.lost += part.lost;
+    sum.wrongAnswers += part.wrongAnswers;
+    for (const auto &[reason, number] : part.reasons) {
+        sum.reasons[reason] += number;
+    }
+    for (const auto &[status, number] : part.statuses) {
+        sum.statuses[status] += number;
+    }
+    sum.answeredMs.insert(sum.answeredMs.end(), part.answeredMs.begin(), part.answeredMs.end());
+    std::move(part.outcomes.begin(), part.outcomes.end(), std::back_inserter(sum.outcomes));
+}
+
+std::vector<std::vector<double>> callInTurn(const BenchSettings &settings, int thread)
+{
+    const std::vector<std::unique_ptr<BenchClient>> clients = connectAll(settings.targets);
+    std::vector<std::vector<double>> samples(clients.size());
+    BenchRequest request;
+    request.method = "GET";
+    request.target = settings.path + "?size=" + std::to_string(settings.size);
+    request.timeoutMs = settings.timeoutMs;
+    for (int i = -kWarmUpCalls; i < settings.count; ++i) {
+        for (std::size_t offset = 0; offset < clients.size(); ++offset) {
+            // The order rotates, so that no target is always called after the same other one.
+            const std::size_t target = (offset + static_cast<std::size_t>(i + kWarmUpCalls)) % clients.size();
+            request.id = "l" + std::to_string(thread) + "-" + std::to_string(i) + "-" + std::to_string(target);
+            const std::int64_t startUs = monotonicUs();
+            const std::optional<BenchResponse> response = clients[target]->call(request);
+            const double ms = static_cast<double>(monotonicUs() - startUs) / 1000;
+            if (i >= 0 && response && response->status == 200) {
+                samples[target].push_back(ms);
+            }
+        }
+    }
+    return samples;
+}
+
+} // namespace
+
+double quantile(const std::vector<double> &sorted, double q)
+{
+    if (sorted.empty()) {
+        return 0;
+    }
+    const auto rank = static_cast<std::size_t>(q * static_cast<double>(sorted.size()));
+    return sorted[std::min(rank, sorted.size() - 1)];
+}
+
+BenchTotals runLoad(const BenchSettings &settings)
+{
+    const std::int64_t untilUs = monotonicUs() + static_cast<std::int64_t>(settings.seconds * 1e6);
+    std::vector<std::unique_ptr<Caller>> callers;
+    std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(settings.threads));
+    for (int i = 0; i < settings.threads; ++i) {
+        callers.push_back(std::make_unique<Caller>(settings, i));
+        threads.emplace_back([caller = callers.back().get(), untilUs] { caller->run(untilUs); });
+    }
+    BenchTotals sum;
+    for (std::size_t i = 0; i < threads.size(); ++i) {
+        threads[i].join();
+        add(sum, std::move(callers[i]->totals));
+    }
+    std::sort(sum.answeredMs.begin(), sum.answeredMs.end());
+    return sum;
+}
+
+std::vector<std::vector<double>> runLatency(const BenchSettings &settings)
+{
+    std::vector<std::vector<std::vector<double>>> parts(static_cast<std::size_t>(settings.threads));
+    std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(settings.threads));
+    for (int i = 0; i < settings.threads; ++i) {
+        threads.emplace_back([&, i] { parts[static_cast<std::size_t>(i)] = callInTurn(settings, i); });
+    }
+    std::vector<std::vector<double>> samples(settings.targets.size());
+    for (std::size_t i = 0; i < threads.size(); ++i) {
+        threads[i].join();
+        for (std::size_t target = 0; target < samples.size(); ++target) {
+            samples[target].insert(samples[target].end(), parts[i][target].begin(), parts[i][target].end());
+        }
+    }
+    for (std::vector<double> &sample : samples) {
+        std::sort(sample.begin(), sample.end());
+    }
+    return samples;
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/bench_main.cpp
@@ -0,0 +1,14 @@
+#include <iostream>
+#include <string_view>
+
+#include "bench_p.h"
+
+int main(int argc, char **argv)
+{
+    const std::string_view command = argc > 1 ? argv[1] : "";
+    if (command == "requests") {
+        return fulmarledge::benchRequests(argc - 1, argv + 1);
+    }
+    std::cerr << "usage: fulmarledge-bench requests [OPTIONS]\n";
+    return 2;
+}
--- /dev/null
+++ b/src/programs/bench_p.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace fulmarledge {
+
+/// Measures requests through nodes and directly. The JSON report goes to standard output.
+/// @return exit code: 0, 1 for a violated invariant, 2 for wrong usage
+int benchRequests(int argc, char **argv);
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/bench_requests.cpp
@@ -0,0 +1,216 @@
+#include <boost/program_options.hpp>
+#include <charconv>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "bench_client_p.h"
+#include "bench_load_p.h"
+#include "bench_p.h"
+
+namespace options = boost::program_options;
+
+namespace fulmarledge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kViolation = 1;
+constexpr int kUsage = 2;
+constexpr std::size_t kShownIds = 5;
+
+std::vector<std::string> split(const std::string &list)
+{
+    std::vector<std::string> items;
+    std::istringstream stream(list);
+    for (std::string item; std::getline(stream, item, ',');) {
+        items.push_back(item);
+    }
+    return items;
+}
+
+std::vector<SocketAddress> addresses(const std::string &list)
+{
+    std::vector<SocketAddress> result;
+    for (const std::string &item : split(list)) {
+        const std::size_t colon = item.rfind(':');
+        if (colon == std::string::npos) {
+            throw options::error("address \"" + item + "\" is not IP:PORT");
+        }
+        result.push_back({item.substr(0, colon), static_cast<std::uint16_t>(std::stoi(item.substr(colon + 1)))});
+    }
+    return result;
+}
+
+Json quantiles(const std::vector<double> &sorted)
+{
+    return {{"samples", sorted.size()},
+            {"p50_ms", quantile(sorted, 0.5)},
+            {"p90_ms", quantile(sorted, 0.9)},
+            {"p99_ms", quantile(sorted, 0.99)},
+            {"max_ms", sorted.empty() ? 0 : sorted.back()}};
+}
+
+Json latencyReport(const BenchSettings &settings)
+{
+    const std::vector<std::vector<double>> samples = runLatency(settings);
+    Json report;
+    for (std::size_t i = 0; i < samples.size(); ++i) {
+        Json entry = quantiles(samples[i]);
+        entry["failed"]
+            = static_cast<std::size_t>(settings.count) * static_cast<std::size_t>(settings.threads) - samples[i].size();
+        if (i > 0) {
+            entry["added_p50_ms"] = quantile(samples[i], 0.5) - quantile(samples[0], 0.5);
+            entry["added_p99_ms"] = quantile(samples[i], 0.99) - quantile(samples[0], 0.99);
+        }
+        report[settings.labels[i]] = entry;
+    }
+    return report;
+}
+
+/// Executions by request id, summed over the backend servers.
+struct Executions {
+    std::map<std::string, std::uint64_t> byId;
+    std::uint64_t total = 0;
+    std::vector<std::int64_t> peakRunning;
+    int unreadable = 0; ///< backend servers whose record could not be read
+};
+
+Executions readExecutions(const std::vector<SocketAddress> &backends)
+{
+    Executions result;
+    for (const SocketAddress &backend : backends) {
+        BenchClient client(backend);
+        BenchRequest request;
+        request.method = "GET";
+        request.target = "/standin/executions";
+        const std::optional<BenchResponse> response = client.call(request);
+        if (!response || response->status != 200) {
+            ++result.unreadable;
+            continue;
+        }
+        const Json record = Json::parse(response->body);
+        for (const auto &[id, count] : record.at("executions").items()) {
+            result.byId[id] += count.get<std::uint64_t>();
+        }
+        result.total += record.at("executed").get<std::uint64_t>();
+        result.peakRunning.push_back(record.at("peak_running"));
+    }
+    return result;
+}
+
+struct Violations {
+    std::uint64_t ranTwice = 0;
+    std::uint64_t ranAfterNotRun = 0;
+    std::vector<std::string> ids;
+};
+
+Violations check(const BenchTotals &totals, const Executions &executions)
+{
+    Violations violations;
+    for (const BenchOutcome &outcome : totals.outcomes) {
+        const auto found = executions.byId.find(outcome.id);
+        const std::uint64_t count = found == executions.byId.end() ? 0 : found->second;
+        const bool twice = outcome.once && count > 1;
+        const bool despite = outcome.notRun && count > 0;
+        violations.ranTwice += twice ? 1 : 0;
+        violations.ranAfterNotRun += despite ? 1 : 0;
+        if ((twice || despite) && violations.ids.size() < kShownIds) {
+            violations.ids.push_back(outcome.id);
+        }
+    }
+    return violations;
+}
+
+Json loadReport(const BenchSettings &settings, bool &violated)
+{
+    const BenchTotals totals = runLoad(settings);
+    const Executions executions = readExecutions(settings.backends);
+    const Violations violations = check(totals, executions);
+    violated = violations.ranTwice + violations.ranAfterNotRun + totals.wrongAnswers > 0;
+    Json reasons(totals.reasons);
+    Json statuses = Json::object();
+    for (const auto &[status, count] : totals.statuses) {
+        statuses[std::to_string(status)] = count;
+    }
+    return {{"requests", totals.requests},
+            {"answered", totals.answered},
+            {"answered_per_s", static_cast<double>(totals.answered) / settings.seconds},
+            {"not_run", totals.notRun},
+            {"may_have_run", totals.mayHaveRun},
+            {"lost", totals.lost},
+            {"reasons", reasons},
+            {"statuses", statuses},
+            {"latency", quantiles(totals.answeredMs)},
+            {"executed", executions.total},
+            {"peak_running", executions.peakRunning},
+            {"records_unreadable", executions.unreadable},
+            {"violations",
+             {{"ran_twice", violations.ranTwice},
+              {"ran_after_not_run", violations.ranAfterNotRun},
+              {"wrong_answers", totals.wrongAnswers},
+              {"ids", violations.ids}}}};
+}
+
+struct Texts {
+    std::string targets;
+    std::string labels;
+    std::string backends;
+};
+
+options::options_description describe(BenchSettings &settings, Texts &texts)
+{
+    options::options_description all("Options of fulmarledge-bench requests");
+    auto add = all.add_options();
+    add("help", "print this text");
+    add("mode", options::value(&settings.mode)->default_value(settings.mode), "\"load\" or \"latency\"");
+    add("name", options::value(&settings.name), "name of the case in the report");
+    add("targets", options::value(&texts.targets)->required(), "IP:PORT,... to send requests to, in turn");
+    add("labels", options::value(&texts.labels), "names of the targets in latency mode; the first is the baseline");
+    add("backends", options::value(&texts.backends), "IP:PORT,... of backend stand-ins whose records are checked");
+    add("path", options::value(&settings.path)->default_value(settings.path), "path of each request");
+    add("threads", options::value(&settings.threads)->default_value(settings.threads), "callers, one connection each");
+    add("seconds", options::value(&settings.seconds)->default_value(settings.seconds), "duration in load mode");
+    add("count", options::value(&settings.count)->default_value(settings.count), "calls per caller in latency mode");
+    add("size", options::value(&settings.size)->default_value(0), "payload of each answer, in bytes");
+    add("body", options::value(&settings.bodyBytes)->default_value(0), "body of each POST, in bytes");
+    add("timeout-ms", options::value(&settings.timeoutMs)->default_value(settings.timeoutMs), "deadline of a request");
+    add("post-percent", options::value(&settings.postPercent)->default_value(0), "share of POST without a key");
+    add("keyed-percent", options::value(&settings.keyedPercent)->default_value(0), "share of POST with a key");
+    add("think-ms", options::value(&settings.thinkMs)->default_value(0), "pause between a caller's requests");
+    return all;
+}
+
+} // namespace
+
+int benchRequests(int argc, char **argv)
+{
+    BenchSettings settings;
+    Texts texts;
+    const options::options_description all = describe(settings, texts);
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, all), values);
+        if (values.count("help") > 0) {
+            std::cout << all;
+            return 0;
+        }
+        options::notify(values);
+        settings.targets = addresses(texts.targets);
+        settings.backends = addresses(texts.backends);
+        settings.labels = split(texts.labels);
+        if (settings.mode == "latency" && settings.labels.size() != settings.targets.size()) {
+            throw options::error("one label per target is needed in latency mode");
+        }
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << "\n" << all;
+        return kUsage;
+    }
+    bool violated = false;
+    const Json report = settings.mode == "latency" ? latencyReport(settings) : loadReport(settings, violated);
+    std::cout << Json{{"case", settings.name}, {"threads", settings.threads}, {"result", report}}.dump(1) << "\n";
+    return violated ? kViolation : 0;
+}
+
+} // namespace fulmarledge
