--- a/src/programs/backendstandin_p.h
+++ b/src/programs/backendstandin_p.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -39,7 +40,7 @@
     std::int64_t announceLoad = -1; ///< reported in place of the true load
 };
 
-/// Stand-in for a user's backend server.
+/// Stand-in for a user's backend server. Runs `slots` requests at once; more wait in it without a limit.
 class BackendStandin
 {
 public:
@@ -57,11 +58,13 @@
     void onCall(HttpCall call);
     void onControl(HttpCall &call);
     void setBehaviour(HttpCall &call);
-    void execute(HttpCall call);
+    void hold(HttpCall call);
     void record(const std::string &id);
-    void wait(const std::shared_ptr<Job> &job, std::int64_t tookMs);
+    void startNext();
+    void start(const std::shared_ptr<Job> &job);
     void stop(const std::shared_ptr<Job> &job);
     void finish(const std::shared_ptr<Job> &job);
+    void freeSlot(const std::shared_ptr<Job> &job);
     void answer(const std::shared_ptr<Job> &job);
     std::string executions();
     std::string state() const;
@@ -75,11 +78,13 @@
     std::unordered_map<std::string, std::uint32_t> m_executions;
     std::uint64_t m_executed = 0;
     std::uint64_t m_cancelled = 0;
-    std::atomic<std::int64_t> m_running{0};
-    std::atomic<std::int64_t> m_peak{0};
+    std::atomic<std::int64_t> m_held{0}; ///< running and waiting
+    std::atomic<std::int64_t> m_peakHeld{0};
     std::atomic<TimeMs> m_lastWork{0};
     std::atomic<bool> m_draining{false};
     std::atomic<bool> m_drainAnnounced{false};
+    std::deque<std::shared_ptr<Job>> m_waiting; ///< for a slot; belongs to the loop's thread
+    int m_running = 0; ///< belongs to the loop's thread
     IoLoop m_loop;
     std::unique_ptr<HttpClient> m_client;
     std::unique_ptr<HttpServer> m_server;
--- a/src/programs/backendstandin_server.cpp
+++ b/src/programs/backendstandin_server.cpp
@@ -43,17 +43,19 @@
 
 } // namespace
 
-/// One execution. Belongs to the loop's thread once it waits.
+/// One request. Belongs to the loop's thread once it waits for a slot.
 struct BackendStandin::Job {
     HttpCall call;
     std::string id;
-    std::string body;
+    std::size_t payload = 0;
+    std::int64_t tookMs = 0;
     std::int64_t lateMs = 0;
     bool closeAfter = false;
     bool truncate = false;
     bool silent = false;
     TimerId timer;
-    bool over = false;
+    bool running = false;
+    bool over = false; ///< holds no slot and no place in the queue
 };
 
 BackendStandin::BackendStandin(const BackendSettings &settings)
@@ -105,7 +107,7 @@
                         {"port", m_settings.address.port},
                         {"slots", m_settings.slots},
                         {"state", faults.announceState.empty() ? state() : faults.announceState},
-                        {"load", faults.announceLoad < 0 ? m_running.load() : faults.announceLoad}}
+                        {"load", faults.announceLoad < 0 ? m_held.load() : faults.announceLoad}}
                        .dump();
     m_client->send(std::move(request), [this, draining](const HttpResult &result) {
         if (draining && result.verdict == Verdict::Answered && result.status < 300) {
@@ -125,7 +127,7 @@
     while (true) {
         const TimeMs now = monotonicMs();
         const bool announced = m_drainAnnounced || m_settings.nodeAdmin.port == 0 || now - since > 3 * kAnnounceMs;
-        if (announced && m_running == 0 && now - std::max<TimeMs>(m_lastWork, since) >= kQuietMs) {
+        if (announced && m_held == 0 && now - std::max<TimeMs>(m_lastWork, since) >= kQuietMs) {
             return;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -144,7 +146,7 @@
     } else if (happens(faults.shedPercent)) {
         call.responder->send(503, {{"Fulmarledge-Verdict", "not-run"}}, "shed\n");
     } else {
-        execute(std::move(call));
+        hold(std::move(call));
     }
 }
 
@@ -159,7 +161,7 @@
         const std::string seen = faults.announceState.empty() ? state() : faults.announceState;
         call.responder->send(seen == "serving" ? 200 : 503, {}, seen + "\n");
     } else if (call.path == "/load") {
-        const std::int64_t seen = faults.announceLoad < 0 ? m_running.load() : faults.announceLoad;
+        const std::int64_t seen = faults.announceLoad < 0 ? m_held.load() : faults.announceLoad;
         call.responder->send(200, {}, std::to_string(seen) + "\n");
     } else {
         call.responder->send(404, {}, "no such control\n");
@@ -196,7 +198,7 @@
     json["executions"] = m_executions;
     json["executed"] = m_executed;
     json["cancelled"] = m_cancelled;
-    json["peak_running"] = m_peak.load();
+    json["peak_held"] = m_peakHeld.load();
     return json.dump();
 }
 
@@ -209,45 +211,61 @@
     }
 }
 
-void BackendStandin::execute(HttpCall call)
+void BackendStandin::hold(HttpCall call)
 {
-    const std::int64_t running = ++m_running;
-    for (std::int64_t peak = m_peak; peak < running && !m_peak.compare_exchange_weak(peak, running);) {
+    const std::int64_t held = ++m_held;
+    for (std::int64_t peak = m_peakHeld; peak < held && !m_peakHeld.compare_exchange_weak(peak, held);) {
     }
     m_lastWork = monotonicMs();
     const Behaviour faults = behaviour();
     auto job = std::make_shared<Job>();
     job->id = fieldValue(call.fields, "Fulmarledge-Request-Id");
+    job->tookMs = m_settings.serviceMs + faults.delayMs;
     job->lateMs = faults.lateMs;
     job->closeAfter = happens(faults.closeAfterPercent);
     job->truncate = happens(faults.truncatePercent);
     job->silent = happens(faults.silentPercent);
-    job->body = answerBody(job->id, payloadBytes(call.query));
+    job->payload = payloadBytes(call.query);
     job->call = std::move(call);
-    record(job->id);
-    const std::int64_t tookMs = m_settings.serviceMs + faults.delayMs;
-    if (tookMs == 0 && job->lateMs == 0 && !job->silent) {
+    if (job->tookMs == 0 && job->lateMs == 0 && !job->silent) {
+        record(job->id);
         answer(job);
         return;
     }
-    m_loop.post([this, job, tookMs] { wait(job, tookMs); });
+    m_loop.post([this, job] {
+        m_waiting.push_back(job);
+        if (job->lateMs == 0) {
+            job->call.responder->onClosed([this, job] { m_loop.post([this, job] { stop(job); }); });
+        }
+        startNext();
+    });
 }
 
-void BackendStandin::wait(const std::shared_ptr<Job> &job, std::int64_t tookMs)
+void BackendStandin::startNext()
 {
-    if (!job->silent) {
-        job->timer = m_loop.runAfter(tookMs, [this, job] { finish(job); });
+    while (m_running < m_settings.slots && !m_waiting.empty()) {
+        const std::shared_ptr<Job> job = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        if (!job->over) {
+            start(job);
+        }
     }
-    if (job->lateMs > 0) {
-        return;
+}
+
+void BackendStandin::start(const std::shared_ptr<Job> &job)
+{
+    ++m_running;
+    job->running = true;
+    record(job->id);
+    if (!job->silent) {
+        job->timer = m_loop.runAfter(job->tookMs, [this, job] { finish(job); });
     }
-    // The deadline is the time that its caller still waits; work past it is wasted.
+    // The deadline is the time that the caller still waits; work past it is wasted.
     const std::string_view deadline = fieldValue(job->call.fields, "Fulmarledge-Deadline-Ms");
     const auto left = numberOr<std::int64_t>(deadline, kLongestDeadlineMs);
-    if (left < tookMs || job->silent) {
+    if (job->lateMs == 0 && (left < job->tookMs || job->silent)) {
         m_loop.runAfter(left, [this, job] { stop(job); });
     }
-    job->call.responder->onClosed([this, job] { m_loop.post([this, job] { stop(job); }); });
 }
 
 void BackendStandin::stop(const std::shared_ptr<Job> &job)
@@ -255,35 +273,51 @@
     if (job->over) {
         return;
     }
-    job->over = true;
     m_loop.cancel(job->timer);
-    --m_running;
+    freeSlot(job);
     const std::lock_guard lock(m_mutex);
     ++m_cancelled;
 }
 
+void BackendStandin::freeSlot(const std::shared_ptr<Job> &job)
+{
+    job->over = true;
+    --m_held;
+    m_lastWork = monotonicMs();
+    if (job->running) {
+        --m_running;
+        startNext();
+    }
+}
+
 void BackendStandin::finish(const std::shared_ptr<Job> &job)
 {
+    if (job->over) {
+        return;
+    }
+    freeSlot(job);
     if (job->lateMs > 0) {
         m_loop.runAfter(job->lateMs, [this, job] { answer(job); });
-    } else if (!job->over) {
-        answer(job);
+        return;
     }
+    answer(job);
 }
 
 void BackendStandin::answer(const std::shared_ptr<Job> &job)
 {
-    job->over = true;
-    m_lastWork = monotonicMs();
-    --m_running;
+    if (!job->over) {
+        job->over = true;
+        --m_held;
+    }
+    std::string body = answerBody(job->id, job->payload);
     HttpResponder &responder = *job->call.responder;
     if (job->closeAfter) {
         responder.sendRawAndClose({});
     } else if (job->truncate) {
-        responder.sendRawAndClose("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(job->body.size()) + "\r\n\r\n"
-                                  + job->body.substr(0, job->body.size() / 2));
+        responder.sendRawAndClose("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                                  + body.substr(0, body.size() / 2));
     } else {
-        responder.send(200, {{"Content-Type", "text/plain"}}, std::move(job->body));
+        responder.send(200, {{"Content-Type", "text/plain"}}, std::move(body));
     }
 }
 
--- a/src/programs/bench_load.cpp
+++ b/src/programs/bench_load.cpp
@@ -40,8 +40,18 @@
 
     void run(std::int64_t untilUs)
     {
+        const double intervalUs = m_settings.rate > 0 ? 1e6 * m_settings.threads / m_settings.rate : 0;
+        // Callers that started together would send in bursts as large as their number.
+        const double shift = static_cast<double>(m_index) / m_settings.threads;
+        auto dueUs = static_cast<double>(monotonicUs()) + intervalUs * shift;
+        std::this_thread::sleep_for(std::chrono::microseconds(static_cast<std::int64_t>(intervalUs * shift)));
         while (monotonicUs() < untilUs) {
             one();
+            dueUs += intervalUs;
+            const auto earlyUs = static_cast<std::int64_t>(dueUs) - monotonicUs();
+            if (m_settings.rate > 0 && earlyUs > 0) {
+                std::this_thread::sleep_for(std::chrono::microseconds(earlyUs));
+            }
             if (m_settings.thinkMs > 0) {
                 std::this_thread::sleep_for(std::chrono::milliseconds(m_settings.thinkMs));
             }
@@ -120,6 +130,7 @@
         ++totals.mayHaveRun;
     } else {
         ++totals.answered;
+        totals.answeredInTime += ms <= static_cast<double>(request.timeoutMs) ? 1 : 0;
         outcome.answered = true;
         totals.answeredMs.push_back(ms);
         totals.wrongAnswers
@@ -131,6 +142,7 @@
 {
     sum.requests += part.requests;
     sum.answered += part.answered;
+    sum.answeredInTime += part.answeredInTime;
     sum.notRun += part.notRun;
     sum.mayHaveRun += part.mayHaveRun;
     sum.lost += part.lost;
--- a/src/programs/bench_load_p.h
+++ b/src/programs/bench_load_p.h
@@ -24,6 +24,7 @@
     std::int64_t timeoutMs = 10000;
     int postPercent = 0;
     int keyedPercent = 0; ///< POST with an idempotency key, sent again after an uncertain outcome
+    double rate = 0; ///< requests per second of all callers, or 0 for one after another
     std::int64_t thinkMs = 0; ///< pause of a thread between two requests
 };
 
@@ -38,6 +39,7 @@
 struct BenchTotals {
     std::uint64_t requests = 0;
     std::uint64_t answered = 0;
+    std::uint64_t answeredInTime = 0; ///< within the request's own deadline
     std::uint64_t notRun = 0;
     std::uint64_t mayHaveRun = 0;
     std::uint64_t lost = 0; ///< no whole response; "may have run" from the caller's view
--- a/src/programs/bench_requests.cpp
+++ b/src/programs/bench_requests.cpp
@@ -73,7 +73,7 @@
 struct Executions {
     std::map<std::string, std::uint64_t> byId;
     std::uint64_t total = 0;
-    std::vector<std::int64_t> peakRunning;
+    std::vector<std::int64_t> peakHeld;
     int unreadable = 0; ///< backend servers whose record could not be read
 };
 
@@ -95,7 +95,7 @@
             result.byId[id] += count.get<std::uint64_t>();
         }
         result.total += record.at("executed").get<std::uint64_t>();
-        result.peakRunning.push_back(record.at("peak_running"));
+        result.peakHeld.push_back(record.at("peak_held"));
     }
     return result;
 }
@@ -136,6 +136,8 @@
     }
     return {{"requests", totals.requests},
             {"answered", totals.answered},
+            {"answered_in_time", totals.answeredInTime},
+            {"in_time_per_s", static_cast<double>(totals.answeredInTime) / settings.seconds},
             {"answered_per_s", static_cast<double>(totals.answered) / settings.seconds},
             {"not_run", totals.notRun},
             {"may_have_run", totals.mayHaveRun},
@@ -144,7 +146,7 @@
             {"statuses", statuses},
             {"latency", quantiles(totals.answeredMs)},
             {"executed", executions.total},
-            {"peak_running", executions.peakRunning},
+            {"peak_held", executions.peakHeld},
             {"records_unreadable", executions.unreadable},
             {"violations",
              {{"ran_twice", violations.ranTwice},
@@ -178,6 +180,8 @@
     add("timeout-ms", options::value(&settings.timeoutMs)->default_value(settings.timeoutMs), "deadline of a request");
     add("post-percent", options::value(&settings.postPercent)->default_value(0), "share of POST without a key");
     add("keyed-percent", options::value(&settings.keyedPercent)->default_value(0), "share of POST with a key");
+    add("rate", options::value(&settings.rate)->default_value(0),
+        "requests per second of all callers, or 0 for one after another");
     add("think-ms", options::value(&settings.thinkMs)->default_value(0), "pause between a caller's requests");
     return all;
 }
