--- a/include/fulmarledge/controlnode.h
+++ b/include/fulmarledge/controlnode.h
@@ -42,8 +42,9 @@
 {
 public:
     /// @param self name, zone, addresses and ports of this host
-    ControlNode(const ControlSettings &settings, const wire::HostRecord &self, PeerTransport &transport, PlatformStore &store, RandomSource &random,
-                MetricsSink &metrics, EventLog &log, ControlListener &listener);
+    ControlNode(const ControlSettings &settings, const wire::HostRecord &self, PeerTransport &transport,
+                PlatformStore &store, RandomSource &random, MetricsSink &metrics, EventLog &log,
+                ControlListener &listener);
     ~ControlNode() override;
     ControlNode(const ControlNode &) = delete;
     ControlNode &operator=(const ControlNode &) = delete;
--- a/include/fulmarledge/snapshot.h
+++ b/include/fulmarledge/snapshot.h
@@ -49,6 +49,8 @@
         return m_services[handle.idx];
     }
     std::span<const SnapshotBackend> backends(ServiceHandle handle) const;
+    /// Path prefixes that lead to a service, in ascending order.
+    std::vector<std::string> routesOf(ServiceHandle handle) const;
     std::span<const SnapshotService> services() const
     {
         return m_services;
--- a/src/core/controlnode.cpp
+++ b/src/core/controlnode.cpp
@@ -19,7 +19,7 @@
     return !set.push && !set.content && !set.tableReply && !set.joinReply && !set.tableRequest;
 }
 
-template<typename Entry>
+template <typename Entry>
 void keepNewest(std::deque<Entry> &entries, Entry entry, std::size_t limit)
 {
     entries.push_back(std::move(entry));
@@ -40,8 +40,9 @@
 
 } // namespace
 
-ControlNode::ControlNode(const ControlSettings &settings, const wire::HostRecord &self, PeerTransport &transport, PlatformStore &store, RandomSource &random,
-                         MetricsSink &metrics, EventLog &log, ControlListener &listener)
+ControlNode::ControlNode(const ControlSettings &settings, const wire::HostRecord &self, PeerTransport &transport,
+                         PlatformStore &store, RandomSource &random, MetricsSink &metrics, EventLog &log,
+                         ControlListener &listener)
     : m_settings(settings)
     , m_header(headerOf(self))
     , m_transport(transport)
@@ -68,7 +69,8 @@
 {
     m_wallClockMs = wallClockMs;
     if (now - m_lastTickMs > m_settings.clockJumpMs) {
-        event("clock-jump", "no tick for " + std::to_string(now - m_lastTickMs) + " ms; version and table are refreshed");
+        event("clock-jump",
+              "no tick for " + std::to_string(now - m_lastTickMs) + " ms; version and table are refreshed");
         m_metrics.count("clock-jumps", "", 1);
         m_spread.onClockJump(now);
     }
@@ -89,7 +91,8 @@
     }
 }
 
-void ControlNode::setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName, std::int32_t slots)
+void ControlNode::setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName,
+                                std::int32_t slots)
 {
     m_membership.setLocalState(now, state, serviceName, slots);
 }
@@ -147,7 +150,8 @@
     m_readinessKnown = true;
     m_ready = ready;
     const Reason reason = ready ? Reason::None : m_membership.isStale() ? Reason::StaleNode : Reason::NotReady;
-    event(ready ? "ready" : "not-ready", "version=" + std::to_string(m_version) + " reason=" + std::string(reasonName(reason)));
+    event(ready ? "ready" : "not-ready",
+          "version=" + std::to_string(m_version) + " reason=" + std::string(reasonName(reason)));
     m_listener.onReadiness(ready, reason);
 }
 
--- a/src/core/snapshot.cpp
+++ b/src/core/snapshot.cpp
@@ -66,6 +66,17 @@
     return std::span(m_backends).subspan(entry.firstBackend, entry.backendCount);
 }
 
+std::vector<std::string> Snapshot::routesOf(ServiceHandle handle) const
+{
+    std::vector<std::string> prefixes;
+    for (const auto &[prefix, target] : m_routes) {
+        if (target.idx == handle.idx) {
+            prefixes.push_back(prefix);
+        }
+    }
+    return prefixes;
+}
+
 bool Snapshot::isConsistent() const
 {
     const bool routesHold = std::all_of(m_routes.begin(), m_routes.end(),
--- /dev/null
+++ b/src/programs/node_admin.cpp
@@ -0,0 +1,122 @@
+#include "node_admin.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fulmarledge {
+
+namespace {
+
+using nlohmann::json;
+
+/// Why a backend server takes no requests, or an empty text.
+std::string_view unusedReason(const SnapshotBackend &backend)
+{
+    if (!backend.record) {
+        return "not announced for this service";
+    }
+    if (backend.record->liveness == wire::Liveness::Dead) {
+        return "declared dead";
+    }
+    switch (backend.record->state) {
+    case wire::HostState::Serving:
+        return "";
+    case wire::HostState::Starting:
+        return "its backend server is starting or silent";
+    case wire::HostState::Draining:
+        return "draining";
+    case wire::HostState::Left:
+        return "left";
+    }
+    return "unknown state";
+}
+
+} // namespace
+
+std::string statusJson(const NodeReport &report)
+{
+    const Spread &spread = report.control.spread();
+    json document{{"host", report.host},
+                  {"zone", report.zone},
+                  {"version", spread.version()},
+                  {"digest", spread.digest()},
+                  {"held_version", spread.heldVersion()},
+                  {"ready", report.control.isReady()},
+                  {"stale", report.control.membership().isStale()},
+                  {"members", report.control.membership().liveCount()},
+                  {"platform", {{"reachable", spread.platformReachable()}, {"age_ms", report.platformAgeMs}}}};
+    document["version_floor"] = spread.isReady() ? "known" : "unknown";
+    document["table_hash"] = std::to_string(report.control.membership().tableHash());
+    if (const auto &rejected = spread.lastRejection()) {
+        document["rejected"] = {{"version", rejected->version}, {"reason", rejected->reason}};
+    }
+    if (report.backend) {
+        document["backend"] = {{"service", report.backend->service},
+                               {"state", stateName(report.backend->state)},
+                               {"slots", report.backend->slots},
+                               {"load", report.backend->load}};
+    }
+    json events = json::array();
+    for (const ControlEvent &event : report.control.events()) {
+        events.push_back({{"time_ms", event.wallClockMs}, {"text", event.text}});
+    }
+    document["events"] = std::move(events);
+    json activations = json::array();
+    for (const auto &[version, wallClockMs] : report.control.activations()) {
+        activations.push_back({{"version", version}, {"time_ms", wallClockMs}});
+    }
+    document["activations"] = std::move(activations);
+    return document.dump();
+}
+
+std::string membersJson(const NodeReport &report)
+{
+    const Membership &membership = report.control.membership();
+    json rows = json::array();
+    for (const wire::HostRecord &record : membership.records()) {
+        const bool own = record.host == report.host;
+        const Member *member = membership.find(record.host);
+        const Version version = own ? report.control.spread().version() : member != nullptr ? member->version : 0;
+        const std::int64_t age = own || member == nullptr ? 0 : report.now - member->versionSeenMs;
+        rows.push_back({{"host", record.host},
+                        {"zone", record.zone},
+                        {"service", record.serviceName},
+                        {"address", record.address},
+                        {"admin_port", record.adminPort},
+                        {"state", stateName(record.state)},
+                        {"liveness", livenessName(record.liveness)},
+                        {"incarnation", record.incarnation},
+                        {"version", version},
+                        {"age_ms", age}});
+    }
+    return rows.dump();
+}
+
+std::optional<std::string> explainJson(const NodeReport &report, std::string_view service)
+{
+    if (report.snapshot == nullptr) {
+        return std::nullopt;
+    }
+    const ServiceHandle handle = report.snapshot->findService(service);
+    if (!isValid(handle)) {
+        return std::nullopt;
+    }
+    json backends = json::array();
+    for (const SnapshotBackend &backend : report.snapshot->backends(handle)) {
+        const std::string_view reason = unusedReason(backend);
+        json row{{"host", backend.host}, {"used", reason.empty()}, {"reason", reason}};
+        if (backend.record) {
+            row["zone"] = backend.record->zone;
+            row["state"] = stateName(backend.record->state);
+            row["liveness"] = livenessName(backend.record->liveness);
+            row["slots"] = backend.record->slots;
+        }
+        backends.push_back(std::move(row));
+    }
+    return json{{"service", service},
+                {"version", report.snapshot->version()},
+                {"routes", report.snapshot->routesOf(handle)},
+                {"backend_servers", std::move(backends)}}
+        .dump();
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/node_backend.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fulmarledge/types.h"
+#include "fulmarledge_types.h"
+
+namespace fulmarledge {
+
+/// What the backend server of this host says of itself in `POST /v1/announce`.
+struct Announcement {
+    std::string service;
+    std::uint16_t port = 0;
+    int slots = 0;
+    wire::HostState::type state = wire::HostState::Starting;
+    int load = 0;
+
+    bool operator==(const Announcement &) const = default;
+
+    static std::optional<Announcement> parse(std::string_view text, LastReason &error);
+};
+
+/// Lower-case name of a state.
+std::string_view stateName(wire::HostState::type state);
+std::string_view livenessName(wire::Liveness::type liveness);
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/node_main.cpp
@@ -0,0 +1,311 @@
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+
+#include "fulmarledge/controlnode.h"
+#include "httpclient.h"
+#include "httpserver.h"
+#include "httpstore.h"
+#include "ioloop.h"
+#include "log.h"
+#include "metrics.h"
+#include "node_admin.h"
+#include "node_backend.h"
+#include "node_settings.h"
+#include "peersocket.h"
+#include "requestpath.h"
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr std::int64_t kTickMs = 50;
+constexpr std::int64_t kDrainPollMs = 20;
+constexpr std::size_t kMaxAdminBodyBytes = 64 * 1024;
+constexpr long kPlatformConnections = 4;
+
+class SystemRandom : public RandomSource
+{
+public:
+    std::uint64_t below(std::uint64_t bound) override
+    {
+        return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(m_engine);
+    }
+
+private:
+    std::mt19937_64 m_engine{std::random_device{}()};
+};
+
+wire::HostRecord ownRecord(const NodeSettings &settings)
+{
+    wire::HostRecord record;
+    record.host = settings.host;
+    record.zone = settings.zone;
+    record.address = settings.address;
+    record.controlPort = settings.controlPort;
+    record.hopPort = settings.hopPort;
+    record.callerPort = settings.callerPort;
+    record.adminPort = settings.adminPort;
+    record.state = wire::HostState::Starting;
+    record.liveness = wire::Liveness::Alive;
+    return record;
+}
+
+/// Joins the control core, the data path and the admin port. Runs on the main thread, which is the control thread.
+class Node : private ControlListener
+{
+public:
+    explicit Node(const NodeSettings &settings)
+        : m_settings(settings)
+        , m_metrics(settings.host, settings.zone)
+        , m_log(makeEventLog(settings.host, settings.zone))
+        , m_client(m_loop, kPlatformConnections)
+        , m_store(m_client, m_metrics, {settings.platform})
+        , m_peers(m_loop, m_metrics)
+        , m_requests(settings.requests, m_metrics)
+        , m_control(settings.control, ownRecord(settings), m_peers, m_store, m_random, m_metrics, *m_log, *this)
+    {
+    }
+
+    int run()
+    {
+        LastReason error;
+        if (!m_peers.start(
+                {m_settings.address, m_settings.controlPort},
+                [this](const wire::Envelope &message) { m_control.onMessage(monotonicMs(), message); }, error)) {
+            std::fprintf(stderr, "fulmarledge-node: control port: %s\n", error.text().c_str());
+            return 1;
+        }
+        watchSignals();
+        m_requests.start();
+        m_control.start(monotonicMs(), wallClockMs());
+        m_admin = std::make_unique<HttpServer>(
+            HttpServer::Settings{{m_settings.address, m_settings.adminPort}, 1, kMaxAdminBodyBytes},
+            [this](HttpCall call) { m_loop.post([this, call = std::move(call)] { onAdmin(call); }); });
+        scheduleTick();
+        m_log->event("started",
+                     "address=" + m_settings.address + " caller_port=" + std::to_string(m_settings.callerPort)
+                         + " version=0");
+        m_loop.run();
+        m_admin->stop();
+        m_requests.stop();
+        m_log->event("stopped", "version=" + std::to_string(m_control.spread().version()));
+        return 0;
+    }
+
+private:
+    void onSnapshot(std::shared_ptr<const Snapshot> snapshot) override
+    {
+        m_snapshot = std::move(snapshot);
+        if (!m_requests.publish(m_snapshot)) {
+            m_log->event("snapshot-refused", "version=" + std::to_string(m_snapshot->version()));
+        }
+        m_requests.ownershipChanged();
+    }
+
+    void onReadiness(bool ready, Reason reason) override
+    {
+        m_ready = ready;
+        m_notReadyReason = reason;
+        m_requests.setReady(ready && !m_leaving, m_leaving ? Reason::Draining : reason);
+    }
+
+    void scheduleTick()
+    {
+        m_loop.runAfter(kTickMs, [this] {
+            const TimeMs now = monotonicMs();
+            m_control.onTick(now, wallClockMs());
+            if (m_control.spread().platformReachable()) {
+                m_platformSeenMs = now;
+            }
+            if (m_backend && now - m_announcedMs > m_settings.announceTimeoutMs) {
+                m_log->event("backend-silent", "service=" + m_backend->service);
+                m_backend->state = wire::HostState::Starting;
+                applyBackend(now);
+                m_backend.reset();
+            }
+            scheduleTick();
+        });
+    }
+
+    void onAnnounce(const HttpCall &call)
+    {
+        LastReason error;
+        const auto announcement = Announcement::parse(call.body, error);
+        if (!announcement) {
+            m_metrics.count("announcements-refused", "", 1);
+            call.responder->send(400, {{"Content-Type", "text/plain"}}, error.text() + "\n");
+            return;
+        }
+        m_announcedMs = monotonicMs();
+        const bool changed = !m_backend || m_backend->state != announcement->state
+            || m_backend->service != announcement->service || m_backend->port != announcement->port
+            || m_backend->slots != announcement->slots;
+        m_backend = *announcement;
+        if (changed) {
+            m_log->event("backend-" + std::string(stateName(announcement->state)), "service=" + announcement->service);
+        }
+        applyBackend(m_announcedMs);
+        call.responder->send(204, {}, "");
+    }
+
+    void applyBackend(TimeMs now)
+    {
+        m_requests.setLocalBackend({m_settings.address, m_backend->port}, m_backend->service,
+                                   static_cast<std::uint32_t>(m_backend->slots), m_backend->state, m_backend->load);
+        m_control.setLocalState(now, m_leaving ? wire::HostState::Draining : m_backend->state, m_backend->service,
+                                m_backend->slots);
+    }
+
+    void onAdmin(const HttpCall &call)
+    {
+        if (call.method == "POST" && call.path == "/v1/announce") {
+            onAnnounce(call);
+            return;
+        }
+        if (call.method != "GET") {
+            call.responder->send(405, {{"Allow", "GET"}}, "");
+            return;
+        }
+        const NodeReport report{m_control,
+                                m_snapshot.get(),
+                                m_backend,
+                                m_settings.host,
+                                m_settings.zone,
+                                monotonicMs(),
+                                monotonicMs() - m_platformSeenMs};
+        const HttpFields json{{"Content-Type", "application/json"}};
+        static constexpr std::string_view kExplain = "/v1/explain/";
+        if (call.path == "/v1/status") {
+            call.responder->send(200, json, statusJson(report));
+        } else if (call.path == "/v1/members") {
+            call.responder->send(200, json, membersJson(report));
+        } else if (call.path.starts_with(kExplain)) {
+            const auto text = explainJson(report, std::string_view(call.path).substr(kExplain.size()));
+            call.responder->send(text ? 200 : 404, json, text.value_or("{\"error\":\"no such service\"}"));
+        } else if (call.path == "/metrics") {
+            call.responder->send(200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.toText());
+        } else if (call.path == "/healthz") {
+            call.responder->send(200, {{"Content-Type", "text/plain"}}, "ok\n");
+        } else if (call.path == "/readyz") {
+            const bool ready = m_ready && !m_leaving;
+            call.responder->send(
+                ready ? 200 : 503, {{"Content-Type", "text/plain"}},
+                ready ? "ready\n" : std::string(reasonName(m_leaving ? Reason::Draining : m_notReadyReason)) + "\n");
+        } else {
+            call.responder->send(404, {{"Content-Type", "text/plain"}}, "no such path\n");
+        }
+    }
+
+    void watchSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        m_signals = Socket(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
+        m_loop.addFd(m_signals.fd(), EPOLLIN, [this](std::uint32_t) {
+            signalfd_siginfo info{};
+            [[maybe_unused]] const ssize_t got = ::read(m_signals.fd(), &info, sizeof(info));
+            beginLeave();
+        });
+    }
+
+    /// Graceful shutdown: no new work, work in progress to its end, then the announcement that this host left.
+    void beginLeave()
+    {
+        if (m_leaving) {
+            return;
+        }
+        m_leaving = true;
+        m_log->event("draining", "planned stop");
+        m_requests.setReady(false, Reason::Draining);
+        m_control.setLocalState(monotonicMs(), wire::HostState::Draining, m_backend ? m_backend->service : "",
+                                m_backend ? m_backend->slots : 0);
+        m_requests.drain([this] { m_loop.post([this] { leaveWhenIdle(); }); });
+    }
+
+    void leaveWhenIdle()
+    {
+        if (m_requests.stats().outstanding > 0) {
+            m_loop.runAfter(kDrainPollMs, [this] { leaveWhenIdle(); });
+            return;
+        }
+        m_loop.runAfter(m_settings.leaveDelayMs, [this] {
+            m_control.leave(monotonicMs());
+            // Lets the datagrams that announce the leave out before the sockets close.
+            m_loop.runAfter(kTickMs, [this] { m_loop.stop(); });
+        });
+    }
+
+    NodeSettings m_settings;
+    IoLoop m_loop;
+    Metrics m_metrics;
+    std::unique_ptr<EventLog> m_log;
+    SystemRandom m_random;
+    HttpClient m_client;
+    HttpStore m_store;
+    PeerSocket m_peers;
+    RequestPath m_requests;
+    ControlNode m_control;
+    std::unique_ptr<HttpServer> m_admin;
+    Socket m_signals;
+    std::shared_ptr<const Snapshot> m_snapshot;
+    std::optional<Announcement> m_backend;
+    TimeMs m_announcedMs = 0;
+    TimeMs m_platformSeenMs = monotonicMs();
+    bool m_ready = false;
+    Reason m_notReadyReason = Reason::NotReady;
+    bool m_leaving = false;
+};
+
+/// Signals are taken by the control thread alone, so every thread starts with them blocked.
+void blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
+}
+
+} // namespace
+
+} // namespace fulmarledge
+
+int main(int argc, char **argv)
+{
+    using namespace fulmarledge;
+    NodeSettings settings;
+    const SettingsSchema schema = nodeSchema(settings);
+    LastReason error;
+    switch (schema.read(std::span<const char *const>(argv, static_cast<std::size_t>(argc)), error)) {
+    case SettingsSchema::Outcome::Help:
+        std::fputs(schema.help().c_str(), stdout);
+        return 0;
+    case SettingsSchema::Outcome::ShowVersion:
+        std::puts("fulmarledge-node " FULMARLEDGE_VERSION);
+        return 0;
+    case SettingsSchema::Outcome::Bad:
+        std::fprintf(stderr, "fulmarledge-node: %s\n", error.text().c_str());
+        return 2;
+    case SettingsSchema::Outcome::CheckOnly:
+        std::puts("settings are valid");
+        return 0;
+    case SettingsSchema::Outcome::Run:
+        break;
+    }
+    completeSettings(settings);
+    blockSignals();
+    startLogging(settings.logLevel);
+    try {
+        Node node(settings);
+        return node.run();
+    } catch (const std::exception &exception) {
+        std::fprintf(stderr, "fulmarledge-node: %s\n", exception.what());
+        return 1;
+    }
+}
--- a/src/programs/platformstandin_store.cpp
+++ b/src/programs/platformstandin_store.cpp
@@ -251,7 +251,8 @@
     const bool silent = fault("silent", call, now) != nullptr;
     if (!silent && fault("expire", call, now) != nullptr) {
         answer(call, callback, {410, {}, "the watch history is gone"});
-    } else if (!silent && (call.version > m_revision || (floor != m_historyFloor.end() && call.version < floor->second))) {
+    } else if (!silent
+               && (call.version > m_revision || (floor != m_historyFloor.end() && call.version < floor->second))) {
         answer(call, callback, {410, {}, "the watch history is gone"});
     } else if (!silent && current == 0 && call.version > 0) {
         answer(call, callback, {404, {}, "no such object"});
