--- a/src/adapters/httpstore.h
+++ b/src/adapters/httpstore.h
@@ -21,7 +21,8 @@
         std::int64_t connectTimeoutMs = 1000;
     };
 
-    /// @param metrics counts each call as `platform-calls` with the label "<operation> <status>". Must outlive `client`.
+    /// @param metrics counts each call as `platform-calls` with the label "<operation> <status>". Must outlive
+    /// `client`.
     HttpStore(HttpClient &client, MetricsSink &metrics, Settings settings);
 
     void get(std::string_view kind, std::string_view name, StoreCallback callback) override;
--- /dev/null
+++ b/src/core/submission.cpp
@@ -0,0 +1,343 @@
+#include "fulmarledge/submission.h"
+
+#include <algorithm>
+
+#include "fulmarledge/manifest.h"
+
+namespace fulmarledge {
+
+namespace {
+
+std::string describe(const Acceptance &acceptance)
+{
+    return "version " + std::to_string(acceptance.version) + " (submission " + acceptance.submission + ", digest "
+        + acceptance.digest.substr(0, 12) + ")";
+}
+
+} // namespace
+
+std::string_view submissionOutcomeName(SubmissionOutcome outcome)
+{
+    switch (outcome) {
+    case SubmissionOutcome::Accepted:
+        return "accepted";
+    case SubmissionOutcome::Invalid:
+        return "invalid";
+    case SubmissionOutcome::NotFound:
+        return "not-found";
+    case SubmissionOutcome::Conflict:
+        return "conflict";
+    case SubmissionOutcome::Unavailable:
+        return "unavailable";
+    case SubmissionOutcome::UnknownOutcome:
+        return "unknown-outcome";
+    }
+    return "unknown";
+}
+
+Submission::Submission(PlatformStore &store, RandomSource &random, Settings settings, SubmissionRequest request,
+                       Callback callback)
+    : m_store(store)
+    , m_random(random)
+    , m_settings(settings)
+    , m_request(std::move(request))
+    , m_callback(std::move(callback))
+{
+}
+
+Submission::~Submission() = default;
+
+void Submission::start(TimeMs now)
+{
+    m_now = now;
+    m_deadline = now + m_settings.deadlineMs;
+    if (m_request.revertTo) {
+        run(Step::ReadHead);
+        return;
+    }
+    LastReason error;
+    const auto manifest = Manifest::parse(m_request.text, error);
+    if (!manifest) {
+        finish(SubmissionOutcome::Invalid, error.text());
+        return;
+    }
+    m_content = manifest->canonicalText();
+    m_result.digest = sha256Hex(m_content);
+    run(Step::CreateContent);
+}
+
+void Submission::tick(TimeMs now)
+{
+    m_now = now;
+    if (m_retryAt && *m_retryAt <= now) {
+        m_retryAt.reset();
+        run(m_step);
+    }
+}
+
+void Submission::run(Step step)
+{
+    m_step = step;
+    const auto callback = [this, alive = std::weak_ptr(m_alive), step](const StoreReply &reply) {
+        if (!alive.expired()) {
+            onReply(step, reply);
+        }
+    };
+    switch (step) {
+    case Step::CreateContent:
+        m_store.create(kManifestKind, m_result.digest, m_content, callback);
+        break;
+    case Step::ReadHead:
+    case Step::ReadBack:
+        m_store.get(kHeadKind, kHeadName, callback);
+        break;
+    case Step::ReadContent:
+        m_store.get(kManifestKind, m_result.digest, callback);
+        break;
+    case Step::UpdateHead:
+        updateHead(callback);
+        break;
+    case Step::Done:
+        break;
+    }
+}
+
+void Submission::updateHead(const std::function<void(const StoreReply &)> &callback)
+{
+    const std::string text = m_base.accept(m_result.digest, m_request.submission, m_request.acceptedMs).toText();
+    if (m_baseObject == 0) {
+        m_store.create(kHeadKind, kHeadName, text, callback);
+    } else {
+        m_store.update(kHeadKind, kHeadName, m_baseObject, text, callback);
+    }
+}
+
+void Submission::onReply(Step step, const StoreReply &reply)
+{
+    switch (step) {
+    case Step::CreateContent:
+        onContentCreated(reply);
+        break;
+    case Step::ReadHead:
+        onHeadRead(reply);
+        break;
+    case Step::ReadContent:
+        onContentRead(reply);
+        break;
+    case Step::UpdateHead:
+        onHeadUpdated(reply);
+        break;
+    case Step::ReadBack:
+        onReadBack(reply);
+        break;
+    case Step::Done:
+        break;
+    }
+}
+
+void Submission::onContentCreated(const StoreReply &reply)
+{
+    switch (reply.status) {
+    case StoreStatus::Ok:
+    case StoreStatus::Conflict:
+        // The name is the digest of the content, so an object that exists has the same content.
+        run(Step::ReadHead);
+        break;
+    case StoreStatus::Invalid:
+        finish(SubmissionOutcome::Invalid, "the platform refused the manifest: " + reply.reason);
+        break;
+    default:
+        retry(Step::CreateContent, reply);
+        break;
+    }
+}
+
+bool Submission::readHead(const StoreReply &reply, Head &head, std::int64_t &objectVersion)
+{
+    if (reply.status == StoreStatus::NotFound) {
+        return true;
+    }
+    LastReason error;
+    const auto parsed
+        = reply.objects.size() == 1 ? Head::parse(reply.objects.front().value, error) : std::optional<Head>();
+    if (!parsed) {
+        finish(m_mayHaveUpdated ? SubmissionOutcome::UnknownOutcome : SubmissionOutcome::Invalid,
+               "head is not readable: " + error.text());
+        return false;
+    }
+    head = *parsed;
+    objectVersion = reply.objects.front().version;
+    return true;
+}
+
+void Submission::onHeadRead(const StoreReply &reply)
+{
+    if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::NotFound) {
+        retry(Step::ReadHead, reply);
+        return;
+    }
+    if (!readHead(reply, m_base, m_baseObject)) {
+        return;
+    }
+    if (m_request.expect && *m_request.expect != m_base.version()) {
+        if (!m_base.recent.empty()) {
+            m_result.winner = m_base.recent.back();
+        }
+        finish(SubmissionOutcome::Conflict,
+               "expected version " + std::to_string(*m_request.expect) + ", but the newest is "
+                   + (m_result.winner ? describe(*m_result.winner) : std::string("none")));
+        return;
+    }
+    if (!m_request.revertTo) {
+        run(Step::UpdateHead);
+        return;
+    }
+    const Acceptance *target = m_base.find(*m_request.revertTo);
+    if (target == nullptr) {
+        finish(SubmissionOutcome::NotFound,
+               "version " + std::to_string(*m_request.revertTo) + " is not among the last "
+                   + std::to_string(m_base.recent.size()) + " accepted versions");
+        return;
+    }
+    m_result.digest = target->digest;
+    run(Step::ReadContent);
+}
+
+void Submission::onContentRead(const StoreReply &reply)
+{
+    if (reply.status == StoreStatus::NotFound) {
+        finish(SubmissionOutcome::NotFound, "manifest " + m_result.digest + " is not on the platform");
+        return;
+    }
+    if (reply.status != StoreStatus::Ok || reply.objects.size() != 1) {
+        retry(Step::ReadContent, reply);
+        return;
+    }
+    LastReason error;
+    const std::string &content = reply.objects.front().value;
+    if (sha256Hex(content) != m_result.digest) {
+        finish(SubmissionOutcome::Invalid, "manifest " + m_result.digest + ": the content has another digest");
+    } else if (!Manifest::parse(content, error)) {
+        finish(SubmissionOutcome::Invalid, error.text());
+    } else {
+        run(Step::UpdateHead);
+    }
+}
+
+void Submission::onHeadUpdated(const StoreReply &reply)
+{
+    switch (reply.status) {
+    case StoreStatus::Ok:
+        m_result.version = m_base.version() + 1;
+        finish(SubmissionOutcome::Accepted, {});
+        break;
+    case StoreStatus::Conflict:
+    case StoreStatus::NotFound:
+        run(Step::ReadBack);
+        break;
+    case StoreStatus::UnknownOutcome:
+        m_mayHaveUpdated = true;
+        retry(Step::ReadBack, reply);
+        break;
+    case StoreStatus::Invalid:
+        finish(m_mayHaveUpdated ? SubmissionOutcome::UnknownOutcome : SubmissionOutcome::Invalid,
+               "the platform refused the update of head: " + reply.reason);
+        break;
+    default:
+        retry(Step::UpdateHead, reply);
+        break;
+    }
+}
+
+void Submission::onReadBack(const StoreReply &reply)
+{
+    if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::NotFound) {
+        retry(Step::ReadBack, reply);
+        return;
+    }
+    Head current;
+    std::int64_t objectVersion = 0;
+    if (!readHead(reply, current, objectVersion)) {
+        return;
+    }
+    if (const Acceptance *own = current.findSubmission(m_request.submission)) {
+        m_result.version = own->version;
+        finish(SubmissionOutcome::Accepted, {});
+    } else if (objectVersion == m_baseObject) {
+        // An update without an answer may still take effect later. Sending it again on the same condition settles the
+        // matter: at most one of the two succeeds.
+        retry(Step::UpdateHead, reply);
+    } else {
+        lost(current);
+    }
+}
+
+void Submission::lost(const Head &current)
+{
+    if (const Acceptance *winner = current.find(m_base.version() + 1)) {
+        m_result.winner = *winner;
+        finish(SubmissionOutcome::Conflict, "lost against " + describe(*winner));
+        return;
+    }
+    if (m_mayHaveUpdated) {
+        // The version this submission would have got is no longer listed, so its submitter cannot be told.
+        finish(SubmissionOutcome::UnknownOutcome,
+               "the answer was lost, and version " + std::to_string(m_base.version() + 1)
+                   + " is no longer listed in head");
+        return;
+    }
+    if (!current.recent.empty()) {
+        m_result.winner = current.recent.back();
+    }
+    finish(SubmissionOutcome::Conflict,
+           "head has changed since it was read; the newest is "
+               + (m_result.winner ? describe(*m_result.winner) : std::string("none")));
+}
+
+void Submission::retry(Step step, const StoreReply &reply)
+{
+    m_step = step;
+    int &failures = m_failures[static_cast<std::size_t>(step)];
+    ++failures;
+    std::int64_t wait = m_settings.backoffMs;
+    for (int i = 1; i < failures && wait < m_settings.maxBackoffMs; ++i) {
+        wait *= 2;
+    }
+    wait = std::clamp<std::int64_t>(wait, 1, std::max<std::int64_t>(m_settings.maxBackoffMs, 1));
+    // Jitter keeps submitters that failed together from returning together.
+    wait = wait / 2 + static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(wait) / 2 + 1));
+    wait += std::max<std::int64_t>(reply.retryAfterMs, 0);
+    if (failures >= m_settings.attempts || m_now + wait > m_deadline) {
+        std::string reason(storeStatusName(reply.status));
+        if (!reply.reason.empty()) {
+            reason += ": " + reply.reason;
+        }
+        giveUp(reason);
+        return;
+    }
+    ++m_result.retries;
+    m_retryAt = m_now + wait;
+}
+
+void Submission::giveUp(const std::string &reason)
+{
+    if (m_mayHaveUpdated) {
+        finish(SubmissionOutcome::UnknownOutcome, "the answer was lost and could not be resolved: " + reason);
+    } else {
+        finish(SubmissionOutcome::Unavailable, "the platform did not answer: " + reason);
+    }
+}
+
+void Submission::finish(SubmissionOutcome outcome, std::string reason)
+{
+    m_step = Step::Done;
+    m_retryAt.reset();
+    m_result.outcome = outcome;
+    m_result.reason = std::move(reason);
+    // Copies, because the callback may destroy this object.
+    const SubmissionResult result = m_result;
+    const Callback callback = std::move(m_callback);
+    callback(result);
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/ctl_commands.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "ctl_nodes.h"
+#include "ctl_options.h"
+#include "ctl_output.h"
+#include "ctl_wait.h"
+#include "httpstore.h"
+#include "ioloop.h"
+#include "metrics.h"
+
+namespace fulmarledge {
+
+/// Runs one command on an event loop of its own.
+class CtlCommands
+{
+public:
+    explicit CtlCommands(CtlOptions options);
+    ~CtlCommands();
+
+    ExitCode run();
+
+private:
+    ExitCode check();
+    void submit();
+    void history();
+    void status();
+    void explain();
+
+    void startSubmission(SubmissionRequest request);
+    void tickSubmission();
+    void onSubmitted(const SubmissionResult &result);
+    void onWaited(const SubmissionResult &result, const WaitResult &wait);
+    void printHistory(const StoreReply &reply);
+    void printStatus(const std::vector<NodeAnswer> &answers);
+    void explainHost(const MemberRow &member);
+    void explainService(const std::string &membersFailure);
+    void printService(const nlohmann::json &document);
+    void finish(ExitCode code);
+
+    CtlOptions m_options;
+    CtlOutput m_output;
+    IoLoop m_loop;
+    HttpClient m_client;
+    Metrics m_metrics;
+    HttpStore m_store;
+    NodeQuery m_query;
+    std::unique_ptr<RandomSource> m_random;
+    std::unique_ptr<Submission> m_submission;
+    std::unique_ptr<ConvergenceWait> m_wait;
+    std::string m_submissionId;
+    std::optional<ExitCode> m_code;
+};
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/ctl_main.cpp
@@ -0,0 +1,27 @@
+#include <exception>
+#include <iostream>
+
+#include "ctl_commands.h"
+
+int main(int argc, char **argv)
+{
+    using namespace fulmarledge;
+    LastReason error;
+    const auto options = readCtlOptions(argc, argv, error);
+    if (!options) {
+        std::cerr << "usage: " << error.text() << "; see fulmarledgectl --help\n";
+        return static_cast<int>(ExitCode::Usage);
+    }
+    if (!options->help.empty()) {
+        std::cout << options->help;
+        return 0;
+    }
+    try {
+        return static_cast<int>(CtlCommands(*options).run());
+    } catch (const std::exception &exception) {
+        std::cerr << "fulmarledgectl: " << exception.what() << '\n';
+        // The failure may have come after an update of `head` was sent.
+        const bool writes = options->command == "submit" || options->command == "revert";
+        return static_cast<int>(writes ? ExitCode::UnknownOutcome : ExitCode::Unavailable);
+    }
+}
--- /dev/null
+++ b/src/programs/ctl_options.cpp
@@ -0,0 +1,210 @@
+#include "ctl_options.h"
+
+#include <arpa/inet.h>
+#include <boost/program_options.hpp>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace fulmarledge {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr const char *kUsage = R"(Usage: fulmarledgectl [options] COMMAND [ARGUMENT]
+
+Commands:
+  check FILE            checks a manifest without contacting the platform
+  submit FILE           submits a manifest as the next version
+  revert VERSION        accepts the content of an earlier version as the next version
+  history               lists the latest accepted versions
+  status                shows every node, as the nodes report it
+  explain NODE|SERVICE  shows one node, or why each backend server of a service is used or not
+
+Exit codes: 0 accepted or done, 2 usage, 3 invalid, 4 conflict, 5 unavailable, 6 unknown outcome,
+7 timed out in --wait, 8 not found.
+
+)";
+
+options::options_description settingsOptions()
+{
+    options::options_description settings("Options, also keys of the settings file");
+    settings.add_options()("platform", options::value<std::string>(), "IP:PORT of the platform")(
+        "node", options::value<std::vector<std::string>>(), "IP:PORT of a node's admin port; may be repeated")(
+        "output", options::value<std::string>()->default_value("table"), "table or json")(
+        "wait-ms", options::value<std::int64_t>()->default_value(10000), "limit of --wait, in milliseconds")(
+        "timeout-ms", options::value<std::int64_t>()->default_value(5000),
+        "limit of one call to the platform, in milliseconds")("retry-ms",
+                                                              options::value<std::int64_t>()->default_value(30000),
+                                                              "limit of the retries of a submission, in milliseconds");
+    return settings;
+}
+
+options::options_description commandLineOptions()
+{
+    options::options_description commandLine("Options of the command line");
+    commandLine.add_options()("help", "prints this text")("version", "prints the version")(
+        "settings", options::value<std::string>(), "settings file in INI format")(
+        "expect", options::value<Version>(), "refuses unless VERSION is the newest accepted version")(
+        "wait", "waits until every live node runs the accepted version");
+    return commandLine;
+}
+
+void readSettingsFile(const options::options_description &settings, options::variables_map &values)
+{
+    if (!values.contains("settings")) {
+        return;
+    }
+    const auto name = values["settings"].as<std::string>();
+    std::ifstream file(name);
+    if (!file) {
+        throw options::error("cannot read settings file " + name);
+    }
+    options::store(options::parse_config_file(file, settings), values);
+}
+
+SocketAddress addressOf(const std::string &option, const std::string &text)
+{
+    const auto address = readSocketAddress(text);
+    if (!address) {
+        throw options::error(option + ": \"" + text + "\" is not an IPv4 address and port");
+    }
+    return *address;
+}
+
+std::int64_t positive(const options::variables_map &values, const std::string &name)
+{
+    const auto value = values[name].as<std::int64_t>();
+    if (value < 1) {
+        throw options::error(name + ": must be above 0");
+    }
+    return value;
+}
+
+CtlOptions convert(const options::variables_map &values)
+{
+    CtlOptions result;
+    if (values.contains("platform")) {
+        result.platform = addressOf("platform", values["platform"].as<std::string>());
+    }
+    if (values.contains("node")) {
+        for (const std::string &node : values["node"].as<std::vector<std::string>>()) {
+            result.nodes.push_back(addressOf("node", node));
+        }
+    }
+    const auto output = values["output"].as<std::string>();
+    if (output != "table" && output != "json") {
+        throw options::error("output: must be \"table\" or \"json\"");
+    }
+    result.json = output == "json";
+    if (values.contains("expect")) {
+        result.expect = values["expect"].as<Version>();
+    }
+    result.wait = values.contains("wait");
+    result.waitMs = positive(values, "wait-ms");
+    result.timeoutMs = positive(values, "timeout-ms");
+    result.retryMs = positive(values, "retry-ms");
+    return result;
+}
+
+/// Checks the command, its argument and the options it needs.
+void checkCommand(const CtlOptions &result, std::size_t wordCount)
+{
+    struct Needs {
+        std::size_t words;
+        bool platform;
+        bool node;
+    };
+    static const std::map<std::string, Needs> kCommands{
+        {"check", {2, false, false}},  {"submit", {2, true, false}}, {"revert", {2, true, false}},
+        {"history", {1, true, false}}, {"status", {1, false, true}}, {"explain", {2, false, true}},
+    };
+    const auto known = kCommands.find(result.command);
+    if (known == kCommands.end()) {
+        throw options::error(result.command.empty() ? "no command given"
+                                                    : "unknown command \"" + result.command + "\"");
+    }
+    if (wordCount != known->second.words) {
+        throw options::error(result.command
+                             + (known->second.words == 2 ? ": needs one argument" : ": takes no argument"));
+    }
+    const bool writes = result.command == "submit" || result.command == "revert";
+    if ((result.expect || result.wait) && !writes) {
+        throw options::error(result.command + ": takes neither --expect nor --wait");
+    }
+    if (known->second.platform && !result.platform) {
+        throw options::error(result.command + ": needs --platform");
+    }
+    if ((known->second.node || result.wait) && result.nodes.empty()) {
+        throw options::error((result.wait ? "--wait" : result.command) + ": needs --node");
+    }
+}
+
+std::string helpText()
+{
+    std::ostringstream text;
+    text << kUsage << settingsOptions() << '\n' << commandLineOptions();
+    return text.str();
+}
+
+CtlOptions readAll(int argc, const char *const *argv)
+{
+    const options::options_description settings = settingsOptions();
+    options::options_description words;
+    words.add_options()("word", options::value<std::vector<std::string>>());
+    options::options_description all;
+    all.add(settings).add(commandLineOptions()).add(words);
+    options::positional_options_description positions;
+    positions.add("word", -1);
+    options::variables_map values;
+    options::store(options::command_line_parser(argc, argv).options(all).positional(positions).run(), values);
+    if (values.contains("help") || values.contains("version")) {
+        CtlOptions result;
+        result.help = values.contains("help") ? helpText() : std::string(FULMARLEDGE_VERSION) + "\n";
+        return result;
+    }
+    readSettingsFile(settings, values);
+    options::notify(values);
+    CtlOptions result = convert(values);
+    std::vector<std::string> given;
+    if (values.contains("word")) {
+        given = values["word"].as<std::vector<std::string>>();
+    }
+    result.command = given.empty() ? "" : given[0];
+    result.argument = given.size() < 2 ? "" : given[1];
+    checkCommand(result, given.size());
+    return result;
+}
+
+} // namespace
+
+std::optional<SocketAddress> readSocketAddress(const std::string &text)
+{
+    const std::size_t colon = text.find(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    SocketAddress address{text.substr(0, colon), 0};
+    in_addr parsed{};
+    const char *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, address.port);
+    if (inet_pton(AF_INET, address.ip.c_str(), &parsed) != 1 || error != std::errc() || stop != end
+        || address.port == 0) {
+        return std::nullopt;
+    }
+    return address;
+}
+
+std::optional<CtlOptions> readCtlOptions(int argc, const char *const *argv, LastReason &error)
+{
+    try {
+        return readAll(argc, argv);
+    } catch (const options::error &exception) {
+        error.set(exception.what());
+        return std::nullopt;
+    }
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/ctl_wait.cpp
@@ -0,0 +1,85 @@
+#include "ctl_wait.h"
+
+namespace fulmarledge {
+
+namespace {
+
+constexpr std::int64_t kPollPauseMs = 100;
+
+} // namespace
+
+ConvergenceWait::ConvergenceWait(IoLoop &loop, NodeQuery &query, std::vector<SocketAddress> nodes, Version version,
+                                 std::int64_t limitMs, Callback callback)
+    : m_loop(loop)
+    , m_query(query)
+    , m_nodes(std::move(nodes))
+    , m_version(version)
+    , m_limitMs(limitMs)
+    , m_callback(std::move(callback))
+{
+}
+
+void ConvergenceWait::start()
+{
+    m_started = monotonicMs();
+    poll();
+}
+
+void ConvergenceWait::poll()
+{
+    m_query.members(m_nodes, [this](const std::optional<std::vector<MemberRow>> &members, const std::string &failure) {
+        onMembers(members, failure);
+    });
+}
+
+void ConvergenceWait::onMembers(const std::optional<std::vector<MemberRow>> &members, const std::string &failure)
+{
+    m_result.failure = failure;
+    if (!members) {
+        again();
+        return;
+    }
+    std::vector<MemberRow> behind;
+    m_result.nodes = 0;
+    for (const MemberRow &member : *members) {
+        if (isLive(member)) {
+            ++m_result.nodes;
+            if (!m_converged.contains(member.host)) {
+                behind.push_back(member);
+            }
+        }
+    }
+    m_query.statuses(std::move(behind), [this](const std::vector<NodeAnswer> &answers) { onAnswers(answers); });
+}
+
+void ConvergenceWait::onAnswers(const std::vector<NodeAnswer> &answers)
+{
+    m_result.lagging.clear();
+    for (const NodeAnswer &answer : answers) {
+        if (runningVersion(answer) >= m_version) {
+            m_converged.insert(answer.member.host);
+        } else {
+            m_result.lagging[answer.member.host] = lagReason(answer, m_version);
+        }
+    }
+    // A list without live members is no proof: the node that was asked may have just started.
+    if (m_result.lagging.empty() && m_result.nodes > 0) {
+        m_result.converged = true;
+        m_result.elapsedMs = monotonicMs() - m_started;
+        m_callback(m_result);
+        return;
+    }
+    again();
+}
+
+void ConvergenceWait::again()
+{
+    m_result.elapsedMs = monotonicMs() - m_started;
+    if (m_result.elapsedMs >= m_limitMs) {
+        m_callback(m_result);
+        return;
+    }
+    m_loop.runAfter(kPollPauseMs, [this] { poll(); });
+}
+
+} // namespace fulmarledge
--- a/src/programs/platformstandin_main.cpp
+++ b/src/programs/platformstandin_main.cpp
@@ -83,7 +83,7 @@
     call.operation = request.method == "PUT" ? "update" : "remove";
     call.version = numberOf(fieldValue(request.fields, "If-Match"));
     return call.version < 0 || (request.method != "PUT" && request.method != "DELETE") ? std::nullopt
-                                                                                      : std::optional(call);
+                                                                                       : std::optional(call);
 }
 
 void sendReply(HttpResponder &responder, const StandinReply &reply)
@@ -106,7 +106,8 @@
     } else if (request.path == "/standin/stats" && request.method == "GET") {
         sendReply(*responder, {200, {{"Content-Type", "application/json"}}, store.statsText()});
     } else if (const auto call = objectCall(request)) {
-        store.call(*call, [responder](const StandinReply &reply) { sendReply(*responder, reply); }, now);
+        store.call(
+            *call, [responder](const StandinReply &reply) { sendReply(*responder, reply); }, now);
     } else {
         sendReply(*responder, {400, {}, "malformed request"});
     }
@@ -147,8 +148,8 @@
     std::uint16_t port = 0;
     options::options_description description("fulmarledge-platform-standin");
     description.add_options()("help", "prints this text")("version", "prints the version")(
-        "address", options::value(&address)->default_value("127.0.0.1"), "address to listen on")(
-        "port", options::value(&port)->default_value(18080), "port to listen on");
+        "address", options::value(&address)->default_value("127.0.0.1"),
+        "address to listen on")("port", options::value(&port)->default_value(18080), "port to listen on");
     try {
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, description), values);
--- a/src/programs/platformstandin_store.cpp
+++ b/src/programs/platformstandin_store.cpp
@@ -249,9 +249,9 @@
     const std::int64_t current = found == m_objects.end() ? 0 : found->second.version;
     const auto floor = m_historyFloor.find(key);
     const bool silent = fault("silent", call, now) != nullptr;
-    if (!silent && fault("expire", call, now) != nullptr) {
-        answer(call, callback, {410, {}, "the watch history is gone"});
-    } else if (!silent && (call.version > m_revision || (floor != m_historyFloor.end() && call.version < floor->second))) {
+    const bool expired = call.version > m_revision || (floor != m_historyFloor.end() && call.version < floor->second)
+        || fault("expire", call, now) != nullptr;
+    if (!silent && expired) {
         answer(call, callback, {410, {}, "the watch history is gone"});
     } else if (!silent && current == 0 && call.version > 0) {
         answer(call, callback, {404, {}, "no such object"});
