Test the guard, retries, keys and whole requests under faults

Sessions, guards, key tables and balancers run together in virtual time with lost, late, doubled and cut messages, drains, restarts and hosts falsely held for dead. 60 seeds find no breach; five rules broken on purpose are each noticed.

The owner of a key now refuses a key that it does not own by its own view: it may not yet know of the change that made it the owner, and would take its ignorance for certainty.

--- a/include/fulmarledge/balancer.h
+++ b/include/fulmarledge/balancer.h
@@ -99,6 +99,14 @@
     /// Owner of an idempotency key: the usable host of the highest rendezvous weight.
     BackendHandle ownerOf(ServiceHandle service, std::string_view key) const;
 
+    /// This host owns the key by its own view. A node that is sent a key of another owner refuses with `wrong-host`:
+    /// it may not have learned of the change that made it the owner, so it cannot tell what the last owner executed.
+    bool ownsKey(ServiceHandle service, std::string_view key) const
+    {
+        const BackendHandle owner = ownerOf(service, key);
+        return isValid(owner) && isOwnHost(owner);
+    }
+
     const SnapshotBackend &backend(BackendHandle handle) const;
     HostState &state(BackendHandle handle) const
     {
--- a/include/fulmarledge/idempotency.h
+++ b/include/fulmarledge/idempotency.h
@@ -72,8 +72,9 @@
     /// @param now start of the process: keys used before are not known
     explicit IdempotencyTable(TimeMs now, const IdempotencyConfig &config = {});
 
-    /// The service's hosts, their liveness or the claim on this host changed, so other nodes may own or may have
-    /// owned some of its keys. Unknown keys are uncertain for the retention time from now on.
+    /// Call when the usable hosts of the service change, and when this host learns that another member suspects it or
+    /// holds it for dead: another host may have owned some of its keys. Unknown keys are uncertain from now on, for
+    /// the retention time.
     void ownershipChanged(TimeMs now);
 
     KeyDecision begin(const KeyedRequest &request, TimeMs now);
--- /dev/null
+++ b/tests/core_requests.cpp
@@ -0,0 +1,110 @@
+#include <catch2/catch.hpp>
+
+#include "request_model.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::test;
+
+namespace {
+
+std::string joined(const std::vector<std::string> &lines)
+{
+    std::string text;
+    for (const std::string &line : lines) {
+        text += line + "; ";
+    }
+    return text;
+}
+
+/// Requests of several kinds, with keys, marked repeats, drains, restarts and hosts falsely held for dead.
+std::unique_ptr<RequestModel> randomSequence(std::uint64_t seed, BrokenRule broken)
+{
+    ModelConfig config;
+    config.seed = seed;
+    config.faultPercent = 20;
+    config.slots = 3;
+    config.broken = broken;
+    auto model = std::make_unique<RequestModel>(config);
+    RequestModel &m = *model;
+    const TimeMs start = m.now;
+    const TimeMs end = start + 6000;
+    for (int i = 0; i < 800; ++i) {
+        CallSpec spec;
+        spec.operation = "operation-" + std::to_string(i);
+        spec.method = m.random.chance(60) ? "POST" : "GET";
+        spec.key = m.random.chance(50) ? "key-" + std::to_string(i) : "";
+        spec.caller = "caller-" + std::to_string(m.random.below(5));
+        spec.timeoutMs = m.random.between(5, 400);
+        spec.serviceClass = m.random.chance(20) ? ServiceClass::Bulk : ServiceClass::Interactive;
+        m.at(m.random.between(start, end), [&m, spec] { m.call(spec); });
+    }
+    // Without changes every owner is certain, so a marked repeat of a key that never arrived executes.
+    if (seed % 2 == 0) {
+        const TimeMs time = m.random.between(start, end - 3000);
+        const auto host = m.random.below(m.hosts.size());
+        m.at(time, [&m, host] { m.drain(host); });
+        m.at(time + 1, [&m] { m.publish(200); });
+        m.at(time + 2500, [&m, host] {
+            if (m.hosts[host]->guard.isIdle()) {
+                m.restart(host);
+                m.publish(200);
+            }
+        });
+        const auto suspected = (host + 1) % m.hosts.size();
+        const TimeMs suspicion = m.random.between(start, end - 3000);
+        const auto liveness = [&m, suspected](wire::Liveness::type value) {
+            m.records[suspected].liveness = value;
+            m.publish(200);
+        };
+        m.at(suspicion, [liveness] { liveness(wire::Liveness::Suspect); });
+        m.at(suspicion + 1000, [liveness] { liveness(wire::Liveness::Dead); });
+        m.at(suspicion + 2000, [liveness] { liveness(wire::Liveness::Alive); });
+    }
+    m.run(end + 60000);
+    return model;
+}
+
+std::size_t violationsOver(BrokenRule broken, std::string_view text)
+{
+    std::size_t found = 0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        for (const std::string &violation : randomSequence(seed, broken)->violations()) {
+            found += violation.find(text) != std::string::npos ? 1 : 0;
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+// Guards against a repeated booking, a "not run" that ran, an answer given to the wrong request, a request without an
+// answer, new work for a draining host, and more retries than the budget.
+TEST_CASE("random faults, drains and changes break no rule of requests")
+{
+    std::size_t answered = 0;
+    std::size_t notRun = 0;
+    std::size_t mayHaveRun = 0;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        const auto model = randomSequence(seed, BrokenRule::None);
+        INFO("seed " << seed << ": " << joined(model->violations()));
+        REQUIRE(model->violations().empty());
+        answered += model->verdicts[Verdict::Answered];
+        notRun += model->verdicts[Verdict::NotRun];
+        mayHaveRun += model->verdicts[Verdict::MayHaveRun];
+    }
+    // Each verdict occurs, so that the checks above have something to check.
+    CHECK(answered > 10000);
+    CHECK(notRun > 1000);
+    CHECK(mayHaveRun > 1000);
+}
+
+// Guards against checks that cannot fail: each rule broken on purpose must be noticed.
+TEST_CASE("the checks notice each rule that is broken on purpose")
+{
+    CHECK(violationsOver(BrokenRule::FalseNotRun, "was refused with \"not run\" and ran") > 0);
+    CHECK(violationsOver(BrokenRule::FalseNotRun, "ran more than once") > 0);
+    CHECK(violationsOver(BrokenRule::NoPairing, "got the answer of") > 0);
+    CHECK(violationsOver(BrokenRule::KeysForgotten, "ran more than once") > 0);
+    CHECK(violationsOver(BrokenRule::RunsWhileDraining, "new work while draining") > 0);
+    CHECK(violationsOver(BrokenRule::UnlimitedRetries, "retries in 10 s") > 0);
+}
--- /dev/null
+++ b/tests/core_slotguard.cpp
@@ -0,0 +1,192 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "fulmarledge/slotguard.h"
+#include "request_fakes.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::test;
+
+namespace {
+
+struct Fixture {
+    explicit Fixture(std::uint32_t slots = 2)
+    {
+        guard.serve("bookings", slots, now);
+    }
+    GuardDecision submit(std::string_view caller, TimeMs deadline = 10000,
+                         ServiceClass serviceClass = ServiceClass::Interactive)
+    {
+        return guard.submit({"bookings", caller, serviceClass, deadline}, now);
+    }
+    GuardDecision next()
+    {
+        return guard.next(now).value_or(GuardDecision{});
+    }
+
+    TimeMs now = 0;
+    SlotGuard guard;
+};
+
+} // namespace
+
+// Guards against unbounded queues and work for a service that this host does not serve.
+TEST_CASE("a guard refuses beyond its slots and queue, and work of another service")
+{
+    Fixture f;
+    for (int i = 0; i < 6; ++i) {
+        CHECK(f.submit("caller").state == (i < 2 ? GuardState::Run : GuardState::Wait));
+    }
+    CHECK(f.submit("caller").reason == Reason::QueueFull);
+    CHECK(f.guard.submit({"drawings", "caller", ServiceClass::Interactive, 10000}, 0).reason == Reason::WrongHost);
+    CHECK(f.guard.gauge()->freeSlots == 0);
+    CHECK(f.guard.gauge()->outstanding == 6);
+}
+
+// Guards against order of arrival, which misses deadlines that could be met, and against running expired work.
+TEST_CASE("waiting requests start by deadline, and expired ones are refused")
+{
+    Fixture f;
+    const GuardDecision running = f.submit("a");
+    f.submit("a2");
+    const GuardDecision late = f.submit("b", 900);
+    const GuardDecision expired = f.submit("c", 100);
+    const GuardDecision soon = f.submit("d", 500);
+    CHECK_FALSE(f.guard.next(0));
+    CHECK(f.guard.nextWakeup() == 100);
+    f.now = 120;
+    CHECK(f.next().reason == Reason::DeadlineExceeded);
+    CHECK(f.guard.finish(running.id, true, f.now));
+    CHECK(f.next().id == soon.id);
+    CHECK(f.guard.cancel(late.id) == GuardCancel::Removed);
+    CHECK(f.guard.cancel(soon.id) == GuardCancel::Running);
+    CHECK(f.guard.cancel(expired.id) == GuardCancel::Unknown);
+    CHECK_FALSE(f.guard.finish(running.id, true, f.now));
+    CHECK(f.guard.running() == 2);
+}
+
+// Guards against doomed work, and against a mean from a slow spell that refuses everything for good.
+TEST_CASE("a deadline that cannot be met is refused, unless nothing runs")
+{
+    Fixture f(1);
+    const GuardDecision first = f.submit("a");
+    f.now = 100;
+    f.guard.finish(first.id, true, f.now);
+    CHECK(f.guard.serviceTimeMs(ServiceClass::Interactive) == 100);
+    CHECK(f.submit("a", f.now + 50).state == GuardState::Run);
+    const GuardDecision doomed = f.submit("b", f.now + 150);
+    CHECK(doomed.reason == Reason::DeadlineUnreachable);
+    CHECK(doomed.retryAfterMs == 100);
+    CHECK(f.submit("b", f.now + 250).state == GuardState::Wait);
+    CHECK(f.submit("b", f.now).reason == Reason::DeadlineExceeded);
+}
+
+// Guards against one caller that crowds out the others, in the order and in a full queue.
+TEST_CASE("the caller with the least work goes first and finds room in a full queue")
+{
+    Fixture f;
+    const GuardDecision running = f.submit("busy");
+    f.submit("busy");
+    f.submit("busy", 300);
+    f.submit("busy", 200);
+    f.submit("busy", 400);
+    f.submit("busy", 500);
+    const GuardDecision quiet = f.submit("quiet", 9000);
+    CHECK(quiet.state == GuardState::Wait);
+    CHECK(f.next().reason == Reason::QueueFull);
+    CHECK(f.submit("busy", 100).reason == Reason::QueueFull);
+    f.guard.finish(running.id, true, f.now);
+    CHECK(f.next().id == quiet.id);
+}
+
+// Guards against archives in every slot while clerks wait.
+TEST_CASE("bulk work holds at most half of the slots while interactive work waits")
+{
+    Fixture f(4);
+    std::vector<GuardEntryId> running;
+    for (int i = 0; i < 4; ++i) {
+        running.push_back(f.submit("bulk", 60000, ServiceClass::Bulk).id);
+    }
+    const GuardDecision waitingBulk = f.submit("bulk", 60000, ServiceClass::Bulk);
+    const GuardDecision interactive = f.submit("clerk");
+    f.guard.finish(running[0], true, f.now);
+    CHECK(f.next().id == interactive.id);
+    f.guard.finish(interactive.id, true, f.now);
+    CHECK_FALSE(f.guard.next(f.now));
+    CHECK(f.guard.nextWakeup() == 1000);
+    f.guard.finish(running[1], true, f.now);
+    CHECK_FALSE(f.guard.next(f.now));
+    // Two of four slots are free of bulk work, and it may take one when it holds fewer than half.
+    f.guard.finish(running[2], true, f.now);
+    CHECK(f.next().id == waitingBulk.id);
+    CHECK(f.submit("bulk", 60000, ServiceClass::Bulk).state == GuardState::Wait);
+    f.now = 1000;
+    CHECK(f.next().state == GuardState::Run);
+}
+
+// Guards against new work for a backend server that stops, and against a stop that cuts running work.
+TEST_CASE("a drain refuses new and waiting work, lets running work finish and reports idle")
+{
+    Fixture f(1);
+    const GuardDecision running = f.submit("a");
+    const GuardDecision waiting = f.submit("b");
+    f.guard.drain();
+    CHECK(f.submit("c").reason == Reason::Draining);
+    const GuardDecision refused = f.next();
+    CHECK(refused.id == waiting.id);
+    CHECK(refused.reason == Reason::Draining);
+    CHECK(f.guard.finish(running.id, true, 1));
+    CHECK(f.guard.isIdle());
+    f.guard.serve("bookings", 1, 2);
+    CHECK(f.submit("c").state == GuardState::Run);
+}
+
+// Guards against lost or doubled slots in any order of events.
+TEST_CASE("random events keep slots, queue and classes within their bounds")
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        INFO("seed " << seed);
+        SeededRandom random(seed);
+        Fixture f(static_cast<std::uint32_t>(random.between(1, 8)));
+        std::set<std::uint64_t> waiting;
+        std::set<std::uint64_t> running;
+        const auto collect = [&] {
+            while (const auto decision = f.guard.next(f.now)) {
+                REQUIRE(waiting.erase(decision->id.value) == 1);
+                if (decision->state == GuardState::Run) {
+                    running.insert(decision->id.value);
+                }
+            }
+        };
+        for (int step = 0; step < 2000; ++step) {
+            f.now += random.between(0, 5);
+            const auto what = random.below(10);
+            if (what < 6) {
+                const auto bulk = random.chance(40) ? ServiceClass::Bulk : ServiceClass::Interactive;
+                const std::string caller = std::to_string(random.below(4));
+                const GuardDecision decision = f.submit(caller, f.now + random.between(0, 200), bulk);
+                if (decision.state != GuardState::Refuse) {
+                    REQUIRE((decision.state == GuardState::Run ? running : waiting).insert(decision.id.value).second);
+                }
+            } else if (what < 9 && !running.empty()) {
+                const std::uint64_t id = *std::next(running.begin(), static_cast<int>(random.below(running.size())));
+                running.erase(id);
+                REQUIRE(f.guard.finish({id}, random.chance(80), f.now));
+            } else if (!waiting.empty()) {
+                REQUIRE(f.guard.cancel({*waiting.begin()}) == GuardCancel::Removed);
+                waiting.erase(waiting.begin());
+            }
+            if (random.chance(1)) {
+                f.guard.drain();
+                collect();
+                REQUIRE(waiting.empty());
+                f.guard.serve("bookings", f.guard.slots(), f.now);
+            }
+            collect();
+            REQUIRE(running.size() == f.guard.running());
+            REQUIRE(waiting.size() == f.guard.waiting());
+            REQUIRE(running.size() <= f.guard.slots());
+            REQUIRE(waiting.size() <= 2 * f.guard.slots());
+        }
+    }
+}
