--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -17,6 +17,10 @@
     schema.addPort("node.hop_port", "TCP port for requests of other nodes", "8083", settings.hopPort);
     schema.addAddress("platform.address", "IP:PORT of the platform's object API", std::nullopt, settings.platform);
 
+    schema.addInteger("fleet.expected_hosts",
+                      "hosts that may start at once; start-up reads of the platform are spread out for this number",
+                      "9700", 1, 65536, settings.expectedHosts);
+
     SpreadSettings &spread = settings.control.spread;
     schema.addChoice("spread.way", "how manifests reach this node: direct, gossip or tree", "tree",
                      {"direct", "gossip", "tree"},
@@ -60,6 +64,8 @@
 
 void completeSettings(NodeSettings &settings)
 {
+    settings.control.spread.expectedFleet = static_cast<std::size_t>(settings.expectedHosts);
+    settings.control.membership.plannedMembers = settings.expectedHosts;
     settings.requests.host = settings.host;
     settings.requests.zone = settings.zone;
     settings.requests.caller = {settings.address, settings.callerPort};
--- a/src/programs/node_settings.h
+++ b/src/programs/node_settings.h
@@ -18,6 +18,7 @@
     std::uint16_t hopPort = 0;
     SocketAddress platform;
     std::string logLevel;
+    int expectedHosts = 0;
     TimeMs announceTimeoutMs = 0;
     TimeMs leaveDelayMs = 0;
     ControlSettings control;
