Parse requests with Pistache and keep its parser's losses out

The parser of our own repeated what Pistache does. Pistache now frames and checks each request; the target and the fields are taken from the received text, because its request object keeps one field of each name and reorders the query.

--- a/src/adapters/httpparser.cpp
+++ b/src/adapters/httpparser.cpp
@@ -1,37 +1,24 @@
+#include "httpparser_p.h"
+
 #include <algorithm>
 #include <charconv>
 #include <strings.h>
 #include <utility>
 
-#include "httpparser_p.h"
-
 namespace fulmarledge {
 
 namespace {
 
+namespace Http = Pistache::Http;
+
 constexpr std::size_t kMaxHeadBytes = 64 * 1024;
-constexpr std::size_t kMaxLineBytes = 4096; ///< of a chunk size or a trailer field
+/// Chunk sizes and trailers count towards the size that Pistache holds at most.
+constexpr std::size_t kChunkOverheadBytes = 64 * 1024;
 constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
 constexpr int kFieldsTooLarge = 431;
-constexpr int kNotImplemented = 501;
-constexpr int kVersionNotSupported = 505;
-
-bool isTokenChar(char c)
-{
-    const auto u = static_cast<unsigned char>(c);
-    return std::isalnum(u) != 0 || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-}
-
-bool isToken(std::string_view text)
-{
-    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
-}
-
-bool isVisible(char c)
-{
-    return c > ' ' && c != '\x7f';
-}
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 bool equalText(std::string_view a, std::string_view b)
 {
@@ -40,54 +27,71 @@
 
 std::string_view trimmed(std::string_view text)
 {
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-        text.remove_suffix(1);
-    }
-    return text;
+    const std::size_t first = std::min(text.find_first_not_of(" \t"), text.size());
+    text.remove_prefix(first);
+    return text.substr(0, text.find_last_not_of(" \t") + 1);
 }
 
-template <typename Number>
-bool readNumber(std::string_view text, int base, Number &value)
+bool isPlain(std::string_view text)
 {
-    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value, base);
-    return code == std::errc{} && end == text.data() + text.size() && !text.empty();
+    return std::all_of(text.begin(), text.end(),
+                       [](char c) { return c == '\t' || (static_cast<unsigned char>(c) >= ' ' && c != '\x7f'); });
 }
 
 } // namespace
 
 HttpParser::HttpParser(std::size_t maxBodyBytes)
     : m_maxBodyBytes(maxBodyBytes)
+    , m_parser(maxBodyBytes + kMaxHeadBytes + kChunkOverheadBytes)
 {
 }
 
 bool HttpParser::fail(int status, std::string text)
 {
-    m_state = State::Failed;
+    m_failed = true;
+    m_close = true;
     m_errorStatus = status;
     m_errorText = std::move(text);
-    m_close = true;
     m_in.clear();
     return false;
 }
 
 HttpParser::Result HttpParser::parse()
 {
-    while (m_state != State::Done && m_state != State::Failed && step()) {
-    }
-    if (m_state == State::Failed) {
+    if (m_done) {
+        return Result::Done;
+    }
+    if (m_failed || (!m_headRead && !readHead())) {
+        return m_failed ? Result::Error : Result::Incomplete;
+    }
+    // Bytes beyond a declared length belong to the next request and stay here.
+    const std::size_t part = m_chunked ? m_in.size() : std::min(m_in.size(), m_bodyLeft);
+    bool fits = m_parser.feed(m_in.data(), part);
+    m_in.erase(0, part);
+    m_bodyLeft -= m_chunked ? 0 : part;
+    try {
+        m_done = fits && m_parser.parse() == Http::Private::State::Done;
+    } catch (const Http::HttpError &error) {
+        fail(error.code(), std::string("request: ") + error.what());
+    } catch (const std::exception &error) {
+        fail(kBadRequest, std::string("request: ") + error.what());
+    }
+    fits = fits && m_parser.request.body().size() <= m_maxBodyBytes;
+    if (!fits && !m_failed) {
+        fail(kTooLarge, "body: larger than " + std::to_string(m_maxBodyBytes) + " bytes");
+    }
+    if (m_failed) {
         return Result::Error;
     }
-    return m_state == State::Done ? Result::Done : Result::Incomplete;
+    return m_done ? Result::Done : Result::Incomplete;
 }
 
 HttpCall HttpParser::take()
 {
-    m_state = State::Head;
-    m_searched = 0;
-    m_trailerBytes = 0;
+    m_call.body = m_parser.request.body();
+    m_parser.reset();
+    m_headRead = false;
+    m_done = false;
     m_expectContinue = false;
     return std::exchange(m_call, {});
 }
@@ -97,228 +101,105 @@
     return std::exchange(m_expectContinue, false);
 }
 
-bool HttpParser::step()
+bool HttpParser::readHead()
 {
-    switch (m_state) {
-    case State::Head:
-        return parseHead();
-    case State::Body:
-        return parseBody();
-    case State::ChunkSize:
-        return parseChunkSize();
-    case State::ChunkData:
-        return parseChunkData();
-    case State::ChunkEnd:
-        return parseChunkEnd();
-    case State::Trailer:
-        return parseTrailer();
-    case State::Done:
-    case State::Failed:
-        break;
-    }
-    return false;
-}
-
-bool HttpParser::parseHead()
-{
-    while (m_in.starts_with("\r\n")) {
+    while (m_in.starts_with(kLineEnd)) {
         // RFC 9112, section 2.2: empty lines before a request are ignored.
-        m_in.erase(0, 2);
+        m_in.erase(0, kLineEnd.size());
     }
-    const std::size_t end = m_in.find("\r\n\r\n", m_searched);
-    if (end == std::string::npos ? m_in.size() > kMaxHeadBytes : end > kMaxHeadBytes) {
+    const std::size_t end = m_in.find(kHeadEnd);
+    if (std::min(end, m_in.size()) > kMaxHeadBytes) {
         return fail(kFieldsTooLarge, "header: larger than " + std::to_string(kMaxHeadBytes) + " bytes");
     }
     if (end == std::string::npos) {
-        m_searched = m_in.size() < 3 ? 0 : m_in.size() - 3;
-        return false;
-    }
-    std::string_view head = std::string_view(m_in).substr(0, end + 2);
-    std::size_t lineEnd = head.find("\r\n");
-    if (!parseRequestLine(head.substr(0, lineEnd))) {
         return false;
     }
-    head.remove_prefix(lineEnd + 2);
+    std::string_view head = std::string_view(m_in).substr(0, end + kLineEnd.size());
+    bool isFirst = true;
     while (!head.empty()) {
-        lineEnd = head.find("\r\n");
-        if (!parseField(head.substr(0, lineEnd))) {
+        const std::size_t lineEnd = head.find(kLineEnd);
+        const std::string_view line = head.substr(0, lineEnd);
+        if (isFirst ? !readTarget(line) : !readField(line)) {
             return false;
         }
-        head.remove_prefix(lineEnd + 2);
+        isFirst = false;
+        head.remove_prefix(lineEnd + kLineEnd.size());
+    }
+    if (!readFraming()) {
+        return false;
     }
-    m_in.erase(0, end + 4);
-    return readFraming();
+    m_parser.feed(m_in.data(), end + kHeadEnd.size());
+    m_in.erase(0, end + kHeadEnd.size());
+    m_headRead = true;
+    return true;
 }
 
-bool HttpParser::parseRequestLine(std::string_view line)
+bool HttpParser::readTarget(std::string_view line)
 {
     const std::size_t first = line.find(' ');
     const std::size_t second = line.rfind(' ');
     if (first == std::string_view::npos || second == first) {
         return fail(kBadRequest, "request line: must have a method, a target and a version");
     }
-    const std::string_view version = line.substr(second + 1);
-    if (version != "HTTP/1.1" && version != "HTTP/1.0") {
-        return fail(kVersionNotSupported, "request line: the version must be HTTP/1.1 or HTTP/1.0");
-    }
-    const std::string_view method = line.substr(0, first);
     const std::string_view target = line.substr(first + 1, second - first - 1);
-    const bool plain = std::all_of(target.begin(), target.end(), isVisible);
-    if (!isToken(method) || !plain || !(target.starts_with('/') || target == "*")) {
-        return fail(kBadRequest, "request line: bad method or target");
+    if (!isPlain(target) || target.find(' ') != std::string_view::npos || !(target.starts_with('/') || target == "*")) {
+        return fail(kBadRequest, "request line: bad target");
     }
-    m_close = version == "HTTP/1.0";
     const std::size_t query = std::min(target.find('?'), target.size());
-    m_call.method = method;
+    m_call.method = line.substr(0, first);
     m_call.path = target.substr(0, query);
     m_call.query = target.substr(query);
+    m_close = line.substr(second + 1) == "HTTP/1.0";
     return true;
 }
 
-bool HttpParser::parseField(std::string_view line)
+bool HttpParser::readField(std::string_view line)
 {
     const std::size_t colon = std::min(line.find(':'), line.size());
     const std::string_view name = line.substr(0, colon);
-    if (colon == line.size() || !isToken(name)) {
+    if (colon == line.size() || name.empty() || name.find_first_of(" \t") != std::string_view::npos) {
         return fail(kBadRequest, "header: a line is not a field name, a colon and a value");
     }
     const std::string_view value = trimmed(line.substr(colon + 1));
-    const bool plain = std::all_of(value.begin(), value.end(), [](char c) {
-        return c == '\t' || (static_cast<unsigned char>(c) >= ' ' && c != '\x7f');
-    });
-    if (!plain) {
+    if (!isPlain(name) || !isPlain(value)) {
         return fail(kBadRequest, std::string(name) + ": control character in the value");
     }
     m_call.fields.emplace_back(name, value);
     return true;
 }
 
-bool HttpParser::readFraming()
+std::string_view HttpParser::field(std::string_view name) const
 {
-    bool chunked = false;
-    std::string_view length;
-    for (const auto &[name, value] : m_call.fields) {
-        if (equalText(name, "Content-Length")) {
-            // Two lengths that differ let a second request hide in the body of the first.
-            if (!length.empty() && length != value) {
-                return fail(kBadRequest, "Content-Length: two different values");
-            }
-            length = value;
-            if (!readNumber(value, 10, m_left)) {
-                return fail(kBadRequest, "Content-Length: must be a whole number");
-            }
-        } else if (equalText(name, "Transfer-Encoding")) {
-            if (chunked || !equalText(value, "chunked")) {
-                return fail(kNotImplemented, "Transfer-Encoding: only chunked is supported");
-            }
-            chunked = true;
-        } else if (equalText(name, "Connection") && equalText(value, "close")) {
-            m_close = true;
-        } else if (equalText(name, "Expect") && equalText(value, "100-continue")) {
-            m_expectContinue = true;
-        }
-    }
-    if (chunked && !length.empty()) {
-        return fail(kBadRequest, "Content-Length: not allowed together with Transfer-Encoding");
-    }
-    if (!chunked && length.empty()) {
-        m_left = 0;
-    }
-    if (!chunked && m_left > m_maxBodyBytes) {
-        return fail(kTooLarge, "the body is larger than " + std::to_string(m_maxBodyBytes) + " bytes");
-    }
-    m_state = chunked ? State::ChunkSize : State::Body;
-    return true;
+    return fieldValue(m_call.fields, name);
 }
 
-bool HttpParser::parseBody()
+bool HttpParser::readFraming()
 {
-    if (m_call.body.empty() && m_in.size() == m_left) {
-        m_call.body.swap(m_in);
-        m_in.clear();
-    } else {
-        const std::size_t taken = static_cast<std::size_t>(std::min<std::uint64_t>(m_left, m_in.size()));
-        m_call.body.append(m_in, 0, taken);
-        m_in.erase(0, taken);
-        m_left -= taken;
-        if (m_left > 0) {
-            return false;
+    const auto isLength = [](const auto &entry) { return equalText(entry.first, "Content-Length"); };
+    const auto lengths = std::count_if(m_call.fields.begin(), m_call.fields.end(), isLength);
+    const std::string_view coding = field("Transfer-Encoding");
+    m_chunked = !coding.empty();
+    // Two framings of one body can be read differently by two parsers, so they are refused.
+    if (lengths > 1 || (lengths == 1 && m_chunked)) {
+        return fail(kBadRequest, "Content-Length: given twice or beside Transfer-Encoding");
+    }
+    if (m_chunked && !equalText(coding, "chunked")) {
+        return fail(kBadRequest, "Transfer-Encoding: must be chunked");
+    }
+    m_bodyLeft = 0;
+    if (lengths == 1) {
+        const std::string_view text = field("Content-Length");
+        const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), m_bodyLeft);
+        if (code != std::errc{} || end != text.data() + text.size()) {
+            return fail(kBadRequest, "Content-Length: must be a whole number");
+        }
+        if (m_bodyLeft > m_maxBodyBytes) {
+            return fail(kTooLarge, "body: larger than " + std::to_string(m_maxBodyBytes) + " bytes");
         }
     }
-    m_state = State::Done;
-    return true;
-}
-
-bool HttpParser::takeLine(std::string &line)
-{
-    const std::size_t end = m_in.find("\r\n");
-    if (end == std::string::npos ? m_in.size() > kMaxLineBytes : end > kMaxLineBytes) {
-        return fail(kBadRequest, "body: a chunk line is too long");
-    }
-    if (end == std::string::npos) {
-        return false;
-    }
-    line = m_in.substr(0, end);
-    m_in.erase(0, end + 2);
-    return true;
-}
-
-bool HttpParser::parseChunkSize()
-{
-    std::string line;
-    if (!takeLine(line)) {
-        return false;
-    }
-    const std::string_view size = trimmed(std::string_view(line).substr(0, line.find(';')));
-    if (!readNumber(size, 16, m_left)) {
-        return fail(kBadRequest, "body: bad chunk size");
-    }
-    if (m_left > m_maxBodyBytes || m_call.body.size() + m_left > m_maxBodyBytes) {
-        return fail(kTooLarge, "the body is larger than " + std::to_string(m_maxBodyBytes) + " bytes");
-    }
-    m_state = m_left == 0 ? State::Trailer : State::ChunkData;
-    return true;
-}
-
-bool HttpParser::parseChunkData()
-{
-    const std::size_t taken = static_cast<std::size_t>(std::min<std::uint64_t>(m_left, m_in.size()));
-    m_call.body.append(m_in, 0, taken);
-    m_in.erase(0, taken);
-    m_left -= taken;
-    if (m_left > 0) {
-        return false;
-    }
-    m_state = State::ChunkEnd;
-    return true;
-}
-
-bool HttpParser::parseChunkEnd()
-{
-    std::string line;
-    if (!takeLine(line)) {
-        return false;
-    }
-    if (!line.empty()) {
-        return fail(kBadRequest, "body: a chunk is longer than its size");
-    }
-    m_state = State::ChunkSize;
-    return true;
-}
-
-bool HttpParser::parseTrailer()
-{
-    std::string line;
-    if (!takeLine(line)) {
-        return false;
-    }
-    m_trailerBytes += line.size();
-    if (m_trailerBytes > kMaxHeadBytes) {
-        return fail(kFieldsTooLarge, "trailer: larger than " + std::to_string(kMaxHeadBytes) + " bytes");
-    }
-    if (line.empty()) {
-        m_state = State::Done;
-    }
+    // The end of a chunked body inside the received bytes is not known here, so what follows it cannot be kept.
+    m_close = m_close || m_chunked || equalText(field("Connection"), "close");
+    m_expectContinue = equalText(field("Expect"), "100-continue");
     return true;
 }
 
--- a/src/adapters/httpparser_p.h
+++ b/src/adapters/httpparser_p.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <pistache/http.h>
 #include <string>
 #include <string_view>
 
@@ -9,8 +10,8 @@
 
 namespace fulmarledge {
 
-/// Incremental parser of HTTP/1.1 requests (RFC 9112). Keeps repeated fields and the target as they were received.
-/// Pistache's own parser merges repeated fields and query parameters, which a proxy must not do.
+/// Requests of one connection, parsed by Pistache. The target and the fields are taken from the received text, because
+/// Pistache's request keeps one field of each name and sorts the query's parameters, which a proxy must not do.
 class HttpParser
 {
 public:
@@ -33,11 +34,7 @@
     {
         return m_close;
     }
-    bool isBuffering() const
-    {
-        return !m_in.empty();
-    }
-    /// Bytes received and not yet parsed.
+    /// Bytes received and not yet given to the parser.
     std::size_t bufferedBytes() const
     {
         return m_in.size();
@@ -53,30 +50,24 @@
     }
 
 private:
-    enum class State : std::uint8_t { Head, Body, ChunkSize, ChunkData, ChunkEnd, Trailer, Done, Failed };
-
-    bool step();
-    bool parseHead();
-    bool parseRequestLine(std::string_view line);
-    bool parseField(std::string_view line);
+    bool readHead();
+    bool readTarget(std::string_view line);
+    bool readField(std::string_view line);
     bool readFraming();
-    bool parseBody();
-    bool parseChunkSize();
-    bool parseChunkData();
-    bool parseChunkEnd();
-    bool parseTrailer();
-    bool takeLine(std::string &line);
+    std::string_view field(std::string_view name) const;
     bool fail(int status, std::string text);
 
     std::size_t m_maxBodyBytes;
-    State m_state = State::Head;
+    Pistache::Http::RequestParser m_parser;
     std::string m_in;
-    std::size_t m_searched = 0;
-    std::uint64_t m_left = 0;
-    std::size_t m_trailerBytes = 0;
+    HttpCall m_call;
+    bool m_headRead = false;
+    bool m_done = false;
+    bool m_failed = false;
+    bool m_chunked = false;
+    std::size_t m_bodyLeft = 0; ///< bytes of a body with a declared length that have not been given to the parser
     bool m_close = false;
     bool m_expectContinue = false;
-    HttpCall m_call;
     int m_errorStatus = 0;
     std::string m_errorText;
 };
--- /dev/null
+++ b/tests/adapter_httpparser.cpp
@@ -0,0 +1,89 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "httpparser_p.h"
+
+using namespace fulmarledge;
+
+namespace {
+
+constexpr std::size_t kMaxBody = 1000;
+
+int errorOf(const std::string &text)
+{
+    HttpParser parser(kMaxBody);
+    parser.feed(text);
+    REQUIRE(parser.parse() == HttpParser::Result::Error);
+    CHECK(parser.wantsClose());
+    return parser.errorStatus();
+}
+
+} // namespace
+
+// Guards against a request that is changed on its way: order and repetition of parameters and fields.
+TEST_CASE("a request is parsed as it was received, whole or byte by byte")
+{
+    const std::string text = "PATCH /a%20b?x=1&y&x=2 HTTP/1.1\r\nHost: h\r\nX-A: one\r\nx-a:  two \r\nCookie: "
+                             "c=1\r\nContent-Length: 3\r\n\r\nabc";
+    for (const std::size_t step : {text.size(), std::size_t{1}}) {
+        HttpParser parser(kMaxBody);
+        HttpParser::Result result = HttpParser::Result::Incomplete;
+        for (std::size_t i = 0; i < text.size(); i += step) {
+            REQUIRE(result == HttpParser::Result::Incomplete);
+            parser.feed(std::string_view(text).substr(i, step));
+            result = parser.parse();
+        }
+        REQUIRE(result == HttpParser::Result::Done);
+        CHECK_FALSE(parser.wantsClose());
+        const HttpCall call = parser.take();
+        CHECK(call.method == "PATCH");
+        CHECK(call.path == "/a%20b");
+        CHECK(call.query == "?x=1&y&x=2");
+        CHECK(call.body == "abc");
+        CHECK(fieldValue(call.fields, "Cookie") == "c=1");
+        CHECK(std::count(call.fields.begin(), call.fields.end(), std::pair<std::string, std::string>("x-a", "two"))
+              == 1);
+    }
+}
+
+// Guards against a second request on the connection being lost, or joined with the first.
+TEST_CASE("requests that follow each other are parsed one at a time")
+{
+    HttpParser parser(kMaxBody);
+    parser.feed("POST /1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nxyGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(parser.parse() == HttpParser::Result::Done);
+    CHECK(parser.take().body == "xy");
+    REQUIRE(parser.parse() == HttpParser::Result::Done);
+    const HttpCall second = parser.take();
+    CHECK(second.path == "/2");
+    CHECK(second.body.empty());
+    CHECK(parser.parse() == HttpParser::Result::Incomplete);
+}
+
+// Guards against a chunked body passed on in part.
+TEST_CASE("a chunked body is joined and its connection is closed")
+{
+    HttpParser parser(kMaxBody);
+    parser.feed("POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    CHECK(parser.parse() == HttpParser::Result::Incomplete);
+    parser.feed("2\r\nde\r\n0\r\n\r\n");
+    REQUIRE(parser.parse() == HttpParser::Result::Done);
+    CHECK(parser.wantsClose());
+    CHECK(parser.take().body == "abcde");
+}
+
+// Guards against a request that two parsers would frame differently, and against unbounded memory.
+TEST_CASE("a request with bad framing or size is refused")
+{
+    CHECK(errorOf("POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n") == 400);
+    CHECK(errorOf("POST / HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n") == 400);
+    CHECK(errorOf("POST / HTTP/1.1\r\nContent-Length: 2x\r\n\r\n") == 400);
+    CHECK(errorOf("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n") == 413);
+    CHECK(errorOf("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'b')
+                  + "\r\n0\r\n\r\n")
+          == 413);
+    CHECK(errorOf("GET / HTTP/1.1\r\nX A: 1\r\n\r\n") == 400);
+    CHECK(errorOf("GET a b HTTP/1.1\r\n\r\n") == 400);
+    CHECK(errorOf("BREW / HTTP/1.1\r\nHost: h\r\n\r\n") >= 400);
+    CHECK(errorOf("GET / HTTP/1.1\r\nX-Long: " + std::string(70000, 'a')) == 431);
+}
