Test membership under faults and fix the herd's contact writes

A host that had just joined knew few members of its zone, took itself for an auditor and wrote a contact: 331 writes in one second with 1,500 hosts, bound 200. A host whose join was refused could learn of members by gossip and then never counted as joined.

Writes now need a completed table, and a host fetches the table from any member it hears of.

--- a/include/fulmarledge/membership.h
+++ b/include/fulmarledge/membership.h
@@ -34,7 +34,7 @@
     int contactReadsPerSecond = 450; ///< of the whole fleet, when all hosts start together
     int contactWritesPerSecond = 100; ///< of the whole fleet, when all hosts start together
     TimeMs contactAuditMs = 30000; ///< mean period of the check by 3 members per zone
-    int joinsPerSecond = 20; ///< joins that this node answers with records
+    int joinsPerSecond = 50; ///< joins that this node answers with records
     int joinSample = 16; ///< records in an answer to a join
     int maxTableRecords = 256; ///< records in a reply of the bucket exchange, rounded up to a whole bucket
     int tableRepliesPerSecond = 8;
@@ -78,7 +78,7 @@
     /// All records, the own one first. A dead host has liveness Dead, one that left has state Left. Valid until the
     /// next input.
     std::span<const wire::HostRecord> records() const;
-    /// True once a member has answered a join, or this host is the first of the fleet.
+    /// True once a member has answered with records, or this host is the first of the fleet.
     bool isJoined() const;
     /// True from a clock jump until the table has been refreshed.
     bool isStale() const;
--- a/src/core/contacts.cpp
+++ b/src/core/contacts.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kOwnZoneFirst = 2;
 // A call without an answer for this long is counted as failed.
 constexpr TimeMs kCallTimeoutMs = 30000;
+constexpr std::uint64_t kMinRetryMs = 200;
 constexpr TimeMs kMinReadSpacingMs = 500;
 constexpr TimeMs kMaxReadSpacingMs = 60000;
 constexpr int kMaxBackoffDoublings = 6;
@@ -96,7 +97,7 @@
 
 void Membership::Private::sendJoins()
 {
-    if (!isAlone() && !stale && !contacts.joinsAll) {
+    if (joined && !isAlone() && !stale && !contacts.joinsAll) {
         // One answer is enough. The contacts themselves and the auditors go on, so that no group stays apart.
         contacts.candidates.clear();
     }
@@ -132,9 +133,10 @@
     reply.joinReply.sequence = message.join.sequence;
     if (!joins.take(now)) {
         metrics.count("membership_joins", "refused", 1);
-        // A later place for each further join, so that the repeats do not arrive together.
+        // Uniform over the time in which the joins refused in this second can be answered.
         const TimeMs wait = 1000 + 1000 * joins.refused() / settings.joinsPerSecond;
-        reply.joinReply.retryAfterMs = static_cast<std::int32_t>(jitter(wait));
+        reply.joinReply.retryAfterMs
+            = static_cast<std::int32_t>(kMinRetryMs + random.below(static_cast<std::uint64_t>(wait)));
     } else {
         metrics.count("membership_joins", "answered", 1);
         reply.joinReply.records.push_back(self());
@@ -148,6 +150,14 @@
     transport.send({message.header.address, static_cast<std::uint16_t>(message.header.controlPort)}, reply);
 }
 
+void Membership::Private::markJoined(const std::string &through)
+{
+    if (!joined) {
+        joined = true;
+        countAndLog("membership_joined", "joined", through);
+    }
+}
+
 void Membership::Private::onJoinReply(const wire::Envelope &message)
 {
     const auto attempt
@@ -171,12 +181,8 @@
     for (const wire::HostRecord &record : message.joinReply.records) {
         merge(record, RecordSource::Table);
     }
-    if (!joined) {
-        countAndLog("membership_joined", "joined", answered.host);
-    }
-    joined = true;
+    markJoined(answered.host);
     syncing = true;
-    contacts.failures = 0;
 }
 
 std::uint64_t Membership::Private::beginCall()
@@ -206,7 +212,8 @@
     }
     contacts.known.clear();
     contacts.candidates.clear();
-    contacts.joinsAll = !isAlone();
+    contacts.audit = !isAlone() && !stale;
+    contacts.joinsAll = contacts.audit;
     for (const StoreObject &object : reply.objects) {
         const Contact &contact = contacts.known[object.name] = parseContact(object);
         contacts.joinsAll = contacts.joinsAll || contact.host == self().host;
@@ -257,12 +264,12 @@
     if (!isAlone()) {
         contacts.writeAllowedAt = 0;
         contacts.nextReadAt = now + jitter(settings.contactAuditMs);
-    } else if (holders.contains(self().host) && !joined) {
+    } else if (holders.contains(self().host)) {
         // The own record is a contact and no other contact answers.
-        joined = true;
-        log.event("joined", "first member");
+        markJoined(self().host);
     }
-    if (slot < 0) {
+    // A host that has just joined knows few members of its zone and would take itself for an auditor.
+    if (slot < 0 || (!isAlone() && (!contacts.audit || syncing || stale))) {
         return;
     }
     if (isAlone() && contacts.writeAllowedAt == 0) {
@@ -356,7 +363,7 @@
 {
     if (reply.status == StoreStatus::Ok) {
         countAndLog("membership_contacts_written", "contact-written", name);
-        joined = true;
+        markJoined(self().host);
     }
     // Every other result is settled by the next read: a conflict names another contact, and after an unknown outcome
     // the record is either there or not.
--- a/src/core/membership_p.h
+++ b/src/core/membership_p.h
@@ -99,6 +99,7 @@
     TimeMs writeAllowedAt = 0; ///< 0 when no write is planned
     int failures = 0; ///< consecutive failed calls
     bool calling = false; ///< a platform call is outstanding
+    bool audit = false; ///< the last read was made by a member that knows others
     bool joinsAll = false; ///< this round goes through every contact that is not in the table
     bool roundOpen = false; ///< contacts of the last read are being tried
     std::uint64_t call = 0; ///< number of the newest call
@@ -162,6 +163,7 @@
     void sendJoins();
     void expireJoins();
     void onJoin(const wire::Envelope &message);
+    void markJoined(const std::string &through);
     void onJoinReply(const wire::Envelope &message);
     void readContacts();
     void onContacts(const StoreReply &reply);
--- a/src/core/merge.cpp
+++ b/src/core/merge.cpp
@@ -60,6 +60,8 @@
     const bool wasDead = known != kNoSlot && table.record(known).liveness == wire::Liveness::Dead;
     const bool changed
         = known == kNoSlot || wasLive != isLive(record) || contentHash(table.record(known)) != contentHash(record);
+    // A host whose joins are still refused fetches the table from the members that it hears of.
+    syncing = syncing || !joined;
     const std::uint32_t slot = table.set(record);
     HostEntry &entry = table.entry(slot);
     revision += changed ? 1 : 0;
--- a/src/core/tablesync.cpp
+++ b/src/core/tablesync.cpp
@@ -26,6 +26,7 @@
         differsSince = 0;
         syncing = false;
         stale = false;
+        markJoined(message.header.host);
         return;
     }
     if (differsSince == 0) {
@@ -107,10 +108,12 @@
         if (reply.records.empty()) {
             syncing = false;
             stale = false;
+            markJoined(message.header.host);
         }
         return;
     }
     stale = false;
+    markJoined(message.header.host);
     wire::Envelope back;
     back.__isset.tableReply = true;
     for (const std::int32_t index : reply.buckets) {
--- /dev/null
+++ b/tests/core_membership.cpp
@@ -0,0 +1,239 @@
+#include <catch2/catch.hpp>
+
+#include "hosttable_p.h"
+#include "membershipfakes.h"
+#include "updatequeue_p.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::test;
+
+namespace {
+
+wire::HostRecord host(const std::string &name, std::int64_t incarnation = 1, const std::string &zone = "ikeja")
+{
+    wire::HostRecord record;
+    record.host = name;
+    record.zone = zone;
+    record.serviceName = "bookings";
+    record.address = "10.0.0.1";
+    record.controlPort = 7400;
+    record.hopPort = 7401;
+    record.callerPort = 7402;
+    record.adminPort = 7403;
+    record.incarnation = incarnation;
+    record.state = wire::HostState::Serving;
+    record.liveness = wire::Liveness::Alive;
+    record.slots = 12;
+    return record;
+}
+
+wire::HostRecord with(wire::HostRecord record, wire::Liveness::type liveness)
+{
+    record.liveness = liveness;
+    return record;
+}
+
+} // namespace
+
+// Guards against an order of records in which a late message undoes a newer one.
+TEST_CASE("records replace each other by incarnation, then liveness, then content")
+{
+    const wire::HostRecord alive = host("a", 5);
+    const wire::HostRecord suspect = with(alive, wire::Liveness::Suspect);
+    const wire::HostRecord dead = with(alive, wire::Liveness::Dead);
+    CHECK(supersedes(suspect, alive));
+    CHECK(supersedes(dead, suspect));
+    CHECK_FALSE(supersedes(alive, dead));
+    CHECK_FALSE(supersedes(alive, alive));
+    CHECK(supersedes(host("a", 6), dead));
+    CHECK_FALSE(supersedes(with(host("a", 4), wire::Liveness::Dead), alive));
+    wire::HostRecord other = alive;
+    other.slots = 4;
+    CHECK(supersedes(other, alive) != supersedes(alive, other));
+}
+
+// Guards against a record from a faulty peer that overflows an incarnation or a port.
+TEST_CASE("records with fields out of range are refused")
+{
+    CHECK(isValidRecord(host("a")));
+    wire::HostRecord record = host("a", 0);
+    CHECK_FALSE(isValidRecord(record));
+    record.incarnation = std::numeric_limits<std::int64_t>::max();
+    CHECK_FALSE(isValidRecord(record));
+    record = host("a");
+    record.controlPort = 70000;
+    CHECK_FALSE(isValidRecord(record));
+    record = host("a");
+    record.state = static_cast<wire::HostState::type>(9);
+    CHECK_FALSE(isValidRecord(record));
+    CHECK_FALSE(isValidRecord(host("")));
+}
+
+// Guards against a datagram that grows beyond its limit.
+TEST_CASE("the computed size of a record is the encoded size")
+{
+    wire::HostRecord record = host("ikeja-bookings-1", 1700000000000);
+    for (const std::int32_t slots : {0, 12, 70, 100000}) {
+        record.slots = slots;
+        wire::Envelope message;
+        const std::size_t empty = encodedBytes(message);
+        message.updates = {record};
+        CHECK(encodedBytes(message) - empty == encodedSize(record));
+    }
+}
+
+// Guards against indices that disagree with the records after any sequence of changes.
+TEST_CASE("the indices of the host table follow its records")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        INFO("seed " << seed);
+        SeededRandom random(seed);
+        HostTable table(host("self"));
+        for (std::int64_t step = 2; step < 2000; ++step) {
+            wire::HostRecord record
+                = host("h" + std::to_string(random.below(60)), step, random.below(2) == 0 ? "ikeja" : "apapa");
+            record.liveness = random.below(3) == 0 ? wire::Liveness::Dead : wire::Liveness::Alive;
+            table.set(record);
+            if (!table.tombstones().empty() && random.below(4) == 0) {
+                table.remove(table.tombstones()[random.below(table.tombstones().size())]);
+            }
+            table.nextProbe(random);
+        }
+        HostTable fresh(host("self"));
+        std::size_t live = 0;
+        std::size_t inBuckets = 0;
+        for (const wire::HostRecord &record : table.records()) {
+            fresh.set(record);
+            live += isLive(record) ? 1 : 0;
+            REQUIRE(table.record(table.find(record.host)) == record);
+        }
+        for (std::size_t i = 0; i < FULMARLEDGE_CONFIG_TABLE_BUCKETS; ++i) {
+            inBuckets += table.bucket(i).size();
+            CHECK(table.bucketHash(i) == fresh.bucketHash(i));
+        }
+        CHECK(inBuckets == table.records().size());
+        CHECK(table.tableHash() == fresh.tableHash());
+        CHECK(table.live().size() == live - 1);
+        std::size_t inZones = 0;
+        for (const std::string &zone : table.zones()) {
+            const std::span<const Member> members = table.zoneMembers(zone);
+            inZones += members.size();
+            CHECK(std::is_sorted(members.begin(), members.end(),
+                                 [](const Member &left, const Member &right) { return left.hash < right.hash; }));
+        }
+        CHECK(inZones == live);
+        // Following the successors visits every live member once.
+        std::uint64_t hash = memberHash("self");
+        std::map<std::uint32_t, int> visited;
+        for (std::size_t i = 0; i < live; ++i) {
+            const std::uint32_t slot = table.successor(hash);
+            ++visited[slot];
+            hash = table.entry(slot).hash;
+        }
+        CHECK(visited.size() == live);
+    }
+}
+
+// Guards against a member that is probed late because the random order repeats others.
+TEST_CASE("each probe round visits every member once")
+{
+    SeededRandom random(3);
+    HostTable table(host("self"));
+    for (int i = 0; i < 50; ++i) {
+        table.set(host("h" + std::to_string(i)));
+    }
+    for (int round = 0; round < 3; ++round) {
+        std::map<std::uint32_t, int> probed;
+        for (int i = 0; i < 50; ++i) {
+            ++probed[table.nextProbe(random)];
+        }
+        CHECK(probed.size() == 50);
+    }
+}
+
+// Guards against records that are sent for ever, beyond the room, or behind older ones.
+TEST_CASE("queued records are sent newest first and a bounded number of times")
+{
+    HostTable table(host("self"));
+    UpdateQueue queue;
+    for (int i = 0; i < 15; ++i) {
+        queue.push(table, table.set(host("h" + std::to_string(i))), false);
+    }
+    queue.push(table, table.find("h3"), true);
+    std::map<std::string, int> sends;
+    for (int i = 0; i < 1000; ++i) {
+        wire::Envelope message;
+        const std::size_t empty = encodedBytes(message);
+        queue.fill(table, message, 400);
+        CHECK(encodedBytes(message) - empty <= 400);
+        if (i == 0) {
+            REQUIRE(message.updates.size() > 2);
+            CHECK(message.updates[0].host == "h3");
+            CHECK(message.updates[1].host == "h14");
+        }
+        for (const wire::HostRecord &record : message.updates) {
+            ++sends[record.host];
+        }
+    }
+    CHECK(sends.size() == 15);
+    for (const auto &[name, count] : sends) {
+        CHECK(count <= 3 * 5); // three times the binary logarithm of 16 members, rounded up
+    }
+}
+
+// Guards against snapshots built for changes that do not matter to routing, or not built for those that do.
+TEST_CASE("the revision follows changes that matter to routing")
+{
+    Fleet fleet(1, smallFleet(2));
+    fleet.addMany(2);
+    fleet.startAll();
+    REQUIRE(fleet.runUntil([&] { return !fleet.disagreement(); }, 20000));
+    Fleet::Node &node = *fleet.nodes[0];
+    const auto receive = [&](const wire::HostRecord &record) {
+        wire::Envelope message;
+        message.header.host = fleet.nodes[1]->record.host;
+        message.updates = {record};
+        node.core->onMessage(fleet.scheduler.now, message);
+    };
+    const auto revision = [&] { return node.core->revision(); };
+    std::uint64_t before = revision();
+    receive(host("new", 5));
+    CHECK(revision() == before + 1);
+    before = revision();
+    receive(host("new", 5));
+    receive(host("new", 6));
+    receive(with(host("new", 6), wire::Liveness::Suspect));
+    CHECK(revision() == before);
+    wire::HostRecord draining = host("new", 7);
+    draining.state = wire::HostState::Draining;
+    receive(draining);
+    CHECK(revision() == before + 1);
+    receive(with(draining, wire::Liveness::Dead));
+    CHECK(revision() == before + 2);
+    CHECK(node.core->find("new") == nullptr);
+    CHECK(Fleet::held(node, "new")->liveness == wire::Liveness::Dead);
+}
+
+// Guards against a host's running version falling because of a late message.
+TEST_CASE("the version of a member comes from the newest process and does not fall")
+{
+    Fleet fleet(1, smallFleet(2));
+    fleet.addMany(2);
+    fleet.startAll();
+    REQUIRE(fleet.runUntil([&] { return !fleet.disagreement(); }, 20000));
+    Fleet::Node &node = *fleet.nodes[0];
+    const std::string &peer = fleet.nodes[1]->record.host;
+    const std::int64_t incarnation = node.core->find(peer)->incarnation;
+    const auto version = [&](std::int64_t sender, Version reported) {
+        wire::Envelope message;
+        message.header.host = peer;
+        message.header.incarnation = sender;
+        message.header.version = reported;
+        node.core->onMessage(fleet.scheduler.now, message);
+        return node.core->find(peer)->version;
+    };
+    CHECK(version(incarnation, 9) == 9);
+    CHECK(version(incarnation, 8) == 9);
+    CHECK(version(incarnation + 1, 3) == 3);
+    CHECK(version(incarnation, 12) == 3);
+}
--- /dev/null
+++ b/tests/core_membershipcontacts.cpp
@@ -0,0 +1,176 @@
+#include <catch2/catch.hpp>
+
+#include "membershipfakes.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::test;
+
+namespace {
+
+// Bounds of section 1 of the design page for a restart of the whole fleet.
+constexpr int kFleetSize = 9700;
+constexpr int kReadsPerSecond = 1000;
+constexpr int kWritesPerSecond = 200;
+
+std::string text(const std::optional<std::string> &violation)
+{
+    return violation.value_or("none");
+}
+
+/// Starts the whole fleet at once. With a contact, its host answers joins as a running member does, so that each
+/// process holds two records only.
+void herd(Fleet &fleet, std::size_t size, bool withContact, TimeMs duration)
+{
+    fleet.sendDigests = false;
+    fleet.tickMs = 1000;
+    fleet.addMany(size);
+    if (withContact) {
+        wire::HostRecord contact = fleet.nodes.front()->record;
+        for (const char *zone : {"ikeja", "apapa", "lekki", "yaba"}) {
+            fleet.platform.objects[std::string(zone) + "-0"]
+                = {std::string(kContactKind), std::string(zone) + "-0", 1,
+                   R"({"host":")" + contact.host + R"(","address":")" + contact.address
+                       + R"(","port":7400,"incarnation":1})"};
+        }
+        // Only joins and their answers pass, so that the tables stay small.
+        fleet.tamper = [](const Fleet::Node &, wire::Envelope &message) {
+            message.joinReply.records.resize(std::min<std::size_t>(message.joinReply.records.size(), 1));
+            return message.__isset.join || message.__isset.joinReply;
+        };
+    } else {
+        fleet.blocked = [](const Fleet::Node &, const Fleet::Node &) { return true; };
+    }
+    fleet.startAll();
+    fleet.run(duration);
+}
+
+bool isContact(const Fleet &fleet, const std::string &host)
+{
+    return std::any_of(fleet.platform.objects.begin(), fleet.platform.objects.end(), [&](const auto &entry) {
+        return entry.second.value.find('"' + host + '"') != std::string::npos;
+    });
+}
+
+/// Each zone has three contacts, all of them different running hosts.
+bool contactsComplete(const Fleet &fleet)
+{
+    int held = 0;
+    for (const Fleet::Node *node : fleet.running()) {
+        held += isContact(fleet, node->record.host) ? 1 : 0;
+    }
+    return held == 12 && fleet.platform.objects.size() == 12;
+}
+
+} // namespace
+
+// Guards against a restart of the whole fleet that overloads the platform, with every contact gone.
+TEST_CASE("a herd without contacts stays under the platform's rates")
+{
+    INFO("seed 1");
+    Fleet fleet(1);
+    // The slower the platform, the more hosts read before the first write is seen.
+    fleet.platform.latencyMs = 3000;
+    herd(fleet, kFleetSize, false, 35000);
+    CHECK(text(Fleet::rateAbove(fleet.platform.readsBySecond, kReadsPerSecond)) == "none");
+    CHECK(text(Fleet::rateAbove(fleet.platform.writesBySecond, kWritesPerSecond)) == "none");
+    CHECK(fleet.platform.objects.size() == 12);
+}
+
+// Guards against contacts that answer more joins than they can, or a herd that never gets in.
+TEST_CASE("a herd joins through contacts at a bounded rate")
+{
+    // A smaller fleet that reads the platform at the rate of the whole one, and one contact for all zones.
+    constexpr std::size_t kSize = 1500;
+    INFO("seed 2");
+    Fleet fleet(2, smallFleet(kSize));
+    std::map<TimeMs, int> answers;
+    herd(fleet, kSize, true, 0);
+    const auto inner = fleet.tamper;
+    fleet.tamper = [&](const Fleet::Node &from, wire::Envelope &message) {
+        if (&from == fleet.nodes.front().get() && !message.joinReply.records.empty()) {
+            ++answers[fleet.scheduler.now / 1000];
+        }
+        return inner(from, message);
+    };
+    fleet.run(20000);
+    // One window of the limit may end and another begin within a second of the clock.
+    CHECK(text(Fleet::rateAbove(answers, 2 * fleet.settings.joinsPerSecond)) == "none");
+    CHECK(text(Fleet::rateAbove(fleet.platform.readsBySecond, kReadsPerSecond)) == "none");
+    CHECK(text(Fleet::rateAbove(fleet.platform.writesBySecond, kWritesPerSecond)) == "none");
+    CHECK(fleet.counted("membership_joined") > 300);
+}
+
+// Shows that the checks of rates fail when the waits are taken away.
+TEST_CASE("a herd that does not wait is caught")
+{
+    MembershipSettings settings;
+    settings.contactReadsPerSecond = 10000000;
+    settings.contactWritesPerSecond = 10000000;
+    Fleet fleet(1, settings);
+    fleet.platform.latencyMs = 3000;
+    herd(fleet, kFleetSize, false, 8000);
+    CHECK(Fleet::rateAbove(fleet.platform.readsBySecond, kReadsPerSecond));
+    CHECK(Fleet::rateAbove(fleet.platform.writesBySecond, kWritesPerSecond));
+    CHECK(Fleet::rateAbove({{0, 41}}, 40));
+}
+
+// Guards against contact records that stay wrong, or are written over and over.
+TEST_CASE("three contacts per zone are kept and replaced")
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        INFO("seed " << seed);
+        Fleet fleet(seed, smallFleet(20));
+        fleet.addMany(20);
+        fleet.startAll();
+        CHECK(fleet.runUntil([&] { return contactsComplete(fleet); }, 120000));
+        const auto settled = fleet.platform.writesBySecond;
+        const auto readsBefore = fleet.platform.readsBySecond.size();
+        fleet.run(60000);
+        CHECK(fleet.platform.writesBySecond == settled);
+        CHECK(fleet.platform.readsBySecond.size() - readsBefore <= 60);
+        for (auto &node : fleet.nodes) {
+            if (isContact(fleet, node->record.host)) {
+                fleet.kill(*node);
+                break;
+            }
+        }
+        CHECK(fleet.runUntil([&] { return contactsComplete(fleet); }, 120000));
+    }
+}
+
+// Guards against a join that gives up, or a duplicate contact, when the platform misbehaves.
+TEST_CASE("hosts join when the platform recovers")
+{
+    for (const StoreStatus mode : {StoreStatus::Unavailable, StoreStatus::Throttled, StoreStatus::UnknownOutcome}) {
+        INFO("seed 4 platform " << storeStatusName(mode));
+        Fleet fleet(4, smallFleet(12));
+        fleet.platform.mode = mode;
+        fleet.platform.retryAfterMs = mode == StoreStatus::Throttled ? 2000 : 0;
+        fleet.addMany(12);
+        fleet.startAll();
+        fleet.run(20000);
+        const std::size_t busySeconds = fleet.platform.readsBySecond.size();
+        CHECK(busySeconds > 0);
+        CHECK(fleet.nodes.front()->core->liveCount() == 1);
+        CHECK(text(Fleet::rateAbove(fleet.platform.readsBySecond, 24)) == "none");
+        fleet.platform.mode = StoreStatus::Ok;
+        fleet.platform.latencyMs = 400;
+        CHECK(fleet.runUntil([&] { return !fleet.disagreement(); }, 60000));
+        INFO(text(fleet.disagreement()));
+    }
+}
+
+// Guards against a write whose answer was lost leaving its host outside, or written twice.
+TEST_CASE("a contact write with unknown outcome is settled by reading")
+{
+    Fleet fleet(5, smallFleet(1));
+    fleet.addMany(1);
+    fleet.startAll();
+    REQUIRE(fleet.runUntil([&] { return !fleet.platform.readsBySecond.empty(); }, 10000));
+    fleet.platform.lostWrites = 1;
+    REQUIRE(fleet.runUntil([&] { return !fleet.platform.writesBySecond.empty(); }, 60000));
+    CHECK_FALSE(fleet.nodes.front()->core->isJoined());
+    CHECK(fleet.runUntil([&] { return fleet.nodes.front()->core->isJoined(); }, 60000));
+    CHECK(fleet.platform.objects.size() == 1);
+    CHECK(fleet.platform.writesBySecond.size() == 1);
+}
--- /dev/null
+++ b/tests/core_membershipfaults.cpp
@@ -0,0 +1,259 @@
+#include <catch2/catch.hpp>
+
+#include "membershipfakes.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::test;
+
+namespace {
+
+// Bounds of the design page: section 10 for removal, sections 1 and 12 for draining, section 1 for agreement.
+constexpr TimeMs kDrainMs = 3000;
+constexpr TimeMs kAgreeMs = 6000;
+// "About 5 s" holds for the fleet of Section 10; one host may take one more probe of its predecessor.
+constexpr TimeMs kRemovalMs = 6000;
+constexpr TimeMs kJoinMs = 20000;
+
+std::string text(const std::optional<std::string> &violation)
+{
+    return violation.value_or("none");
+}
+
+bool joinAll(Fleet &fleet)
+{
+    fleet.startAll();
+    return fleet.runUntil([&] { return !fleet.disagreement(); }, kJoinMs).has_value();
+}
+
+std::optional<TimeMs> timeToAgree(Fleet &fleet)
+{
+    return fleet.runUntil([&] { return !fleet.disagreement(); }, kAgreeMs);
+}
+
+std::optional<TimeMs> timeToRemove(Fleet &fleet, Fleet::Node &node)
+{
+    fleet.kill(node);
+    return fleet.runUntil([&] { return !fleet.heldLive(node.record.host); }, kRemovalMs);
+}
+
+std::optional<TimeMs> timeToDrain(Fleet &fleet, Fleet::Node &node)
+{
+    node.core->setLocalState(fleet.scheduler.now, wire::HostState::Draining, "bookings", 12);
+    return fleet.runUntil([&] { return !fleet.notInState(node.record.host, wire::HostState::Draining); }, kDrainMs);
+}
+
+} // namespace
+
+// Guards against a fleet that never becomes one after all hosts start with nothing kept.
+TEST_CASE("hosts that start together hold the same table")
+{
+    for (const std::size_t size : {1U, 2U, 5U, 40U}) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            INFO("seed " << seed << " size " << size);
+            Fleet fleet(seed, smallFleet(static_cast<std::int64_t>(size)));
+            fleet.addMany(size);
+            CHECK(joinAll(fleet));
+            INFO(text(fleet.disagreement()));
+            CHECK(fleet.runUntil([&] { return fleet.nodes.front()->core->isJoined(); }, kJoinMs));
+            CHECK(text(fleet.violation) == "none");
+        }
+    }
+}
+
+// Guards against a dead host that stays in the table, and against a draining host that still gets work after 3 s.
+TEST_CASE("a draining state and a dead host are known in time")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        INFO("seed " << seed);
+        Fleet fleet(seed, smallFleet(40));
+        fleet.addMany(40);
+        REQUIRE(joinAll(fleet));
+        fleet.faults.lossPercent = 1;
+        CHECK(timeToDrain(fleet, *fleet.nodes[seed % 40]));
+        CHECK(timeToRemove(fleet, *fleet.nodes[(seed + 7) % 40]));
+        CHECK(text(fleet.violation) == "none");
+    }
+}
+
+// Guards against tables that stay different, or a live host left dead, after any mix of message faults, pauses and
+// restarts.
+TEST_CASE("after faults stop all tables agree")
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        INFO("seed " << seed);
+        Fleet fleet(seed, smallFleet(16));
+        fleet.addMany(16);
+        REQUIRE(joinAll(fleet));
+        fleet.faults = {15, 15, 1, 400};
+        for (int step = 0; step < 20; ++step) {
+            Fleet::Node &node = *fleet.nodes[fleet.random.below(fleet.nodes.size())];
+            switch (fleet.random.below(4)) {
+            case 0:
+                fleet.kill(node);
+                break;
+            case 1:
+                fleet.start(node);
+                break;
+            case 2:
+                node.paused = !node.paused;
+                break;
+            default:
+                if (node.core) {
+                    node.core->setLocalState(fleet.scheduler.now, wire::HostState::Draining, "bookings", 12);
+                }
+            }
+            fleet.run(500 + static_cast<TimeMs>(fleet.random.below(3000)));
+        }
+        fleet.faults = {};
+        for (auto &node : fleet.nodes) {
+            node->paused = false;
+            if (!node->core) {
+                fleet.start(*node);
+            }
+        }
+        CHECK(timeToAgree(fleet));
+        INFO(text(fleet.disagreement()));
+        CHECK(text(fleet.violation) == "none");
+    }
+}
+
+// Guards against zones or regions that stay apart after a partition, and against a heal that makes a side remove its
+// own members.
+TEST_CASE("a partition heals")
+{
+    for (const TimeMs length : {20000, 90000}) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            INFO("seed " << seed << " partition of " << length << " ms");
+            MembershipSettings settings = smallFleet(24);
+            settings.tombstoneMs = 60000;
+            Fleet fleet(seed, settings);
+            fleet.addMany(24);
+            REQUIRE(joinAll(fleet));
+            const auto side
+                = [](const Fleet::Node &node) { return node.record.zone == "ikeja" || node.record.zone == "apapa"; };
+            fleet.blocked = [&](const Fleet::Node &from, const Fleet::Node &to) { return side(from) != side(to); };
+            fleet.run(length);
+            CHECK(fleet.nodes.front()->core->liveCount() == 12);
+            fleet.blocked = nullptr;
+            // After the tombstones are forgotten, only the check of the contacts finds the other side.
+            const TimeMs search = length < settings.tombstoneMs ? 0 : 3 * settings.contactAuditMs / 2;
+            std::size_t least = 12;
+            const auto agreed = fleet.runUntil(
+                [&] {
+                    for (const Fleet::Node *node : fleet.running()) {
+                        least = std::min(least, node->core->liveCount());
+                    }
+                    return !fleet.disagreement();
+                },
+                search + kAgreeMs);
+            CHECK(agreed);
+            INFO(text(fleet.disagreement()));
+            CHECK(least == 12);
+            CHECK(text(fleet.violation) == "none");
+        }
+    }
+}
+
+// Guards against a paused host that brings back replaced records or declares the others dead when it continues.
+TEST_CASE("a clock jump makes the table stale until it is refreshed")
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        INFO("seed " << seed);
+        Fleet fleet(seed, smallFleet(20));
+        fleet.addMany(20);
+        REQUIRE(joinAll(fleet));
+        Fleet::Node &node = *fleet.nodes[3];
+        node.paused = true;
+        fleet.run(10000);
+        Fleet::Node &gone = *fleet.nodes[8];
+        fleet.kill(gone);
+        fleet.run(20000);
+        const double deaths = fleet.counted("membership_deaths");
+        node.paused = false;
+        fleet.run(60);
+        CHECK(node.metrics.counts["membership_clock_jumps"] == 1);
+        CHECK(timeToAgree(fleet));
+        INFO(text(fleet.disagreement()));
+        CHECK_FALSE(node.core->isStale());
+        CHECK(fleet.counted("membership_deaths") == deaths + 1); // the paused host learns of the one that is gone
+        CHECK(text(fleet.violation) == "none");
+    }
+}
+
+// Guards against a restarted host whose wall clock went back being ignored because of its earlier incarnation.
+TEST_CASE("a restarted host raises its incarnation above the one that others hold")
+{
+    Fleet fleet(1, smallFleet(8));
+    fleet.addMany(8);
+    REQUIRE(joinAll(fleet));
+    Fleet::Node &node = *fleet.nodes[2];
+    const std::int64_t before = node.core->records().front().incarnation;
+    fleet.kill(node);
+    fleet.start(node, -100000);
+    REQUIRE(node.core->records().front().incarnation < before);
+    CHECK(timeToAgree(fleet));
+    INFO(text(fleet.disagreement()));
+    CHECK(node.core->records().front().incarnation > before);
+}
+
+// Shows that each check above fails when its rule is broken.
+TEST_CASE("broken rules are caught")
+{
+    std::map<std::string, std::int64_t> highest;
+    std::vector<wire::HostRecord> records(1);
+    records[0].incarnation = 5;
+    CHECK_FALSE(Fleet::incarnationFall(highest, records));
+    records[0].incarnation = 4;
+    CHECK(Fleet::incarnationFall(highest, records));
+
+    Fleet fleet(1, smallFleet(12));
+    fleet.addMany(12);
+    REQUIRE(joinAll(fleet));
+    Fleet::Node &victim = *fleet.nodes[5];
+    const std::string &host = victim.record.host;
+
+    SECTION("records of the draining host are removed from messages")
+    {
+        fleet.tamper = [&](const Fleet::Node &, wire::Envelope &message) {
+            std::erase_if(message.updates, [&](const wire::HostRecord &record) { return record.host == host; });
+            return !message.__isset.tableReply;
+        };
+        CHECK_FALSE(timeToDrain(fleet, victim));
+    }
+    SECTION("an impostor answers for the dead host")
+    {
+        fleet.tamper = [&](const Fleet::Node &from, wire::Envelope &message) {
+            if (message.__isset.ping && message.ping.target == host) {
+                wire::Envelope ack;
+                ack.__isset.ack = true;
+                ack.ack.sequence = message.ping.sequence;
+                ack.ack.subject = host;
+                ack.header = message.header;
+                ack.header.host = host;
+                fleet.scheduler.at(fleet.scheduler.now + 1,
+                                   [&fleet, &from, ack] { from.core->onMessage(fleet.scheduler.now, ack); });
+            }
+            return true;
+        };
+        CHECK_FALSE(timeToRemove(fleet, victim));
+    }
+    SECTION("a live host cannot refute")
+    {
+        fleet.blocked = [&](const Fleet::Node &from, const Fleet::Node &to) {
+            return from.record.host == host || to.record.host == host;
+        };
+        fleet.run(20000);
+        fleet.blocked = [&](const Fleet::Node &from, const Fleet::Node &) { return from.record.host == host; };
+        CHECK_FALSE(timeToAgree(fleet));
+        CHECK(fleet.heldDead(host));
+    }
+    SECTION("a host that continues after a pause gets no answer")
+    {
+        victim.paused = true;
+        fleet.run(10000);
+        victim.paused = false;
+        fleet.blocked = [&](const Fleet::Node &, const Fleet::Node &to) { return to.record.host == host; };
+        fleet.run(5000);
+        CHECK(victim.core->isStale());
+    }
+}
