Test the spread under faults and against its bounds

Seeded faults (loss, doubling, delay, corruption, restarts, pauses, partitions and every platform status) check after each step that no version falls and that only accepted, replicated manifests are active. Nodes that are no watchers now check half as often, nodes that know no member poll instead of watching, and the read rate of a returning fleet is 300/s instead of 400/s. The herd test runs 2,500 nodes.

Repeated ends of a watch without a change and repeated expired histories back off instead of looping at the tick.

--- a/include/fulmarledge/spread.h
+++ b/include/fulmarledge/spread.h
@@ -46,7 +46,9 @@
     TimeMs backoffMinMs = 100;
     TimeMs backoffMaxMs = 2000;
     TimeMs jitterMs = 100;
-    int readsPerSecond = 400; ///< share of the platform's read rate that the whole fleet may use on a restart
+    /// Rate at which a returning fleet reads `head`. Nodes that know no member may fetch contents at the same rate, so
+    /// that both stay below two thirds of the 1,000 reads/s allowed; the rest is left to the membership.
+    int readsPerSecond = 300;
     std::size_t expectedFleet = 1000; ///< lower bound of the fleet size, for the jitter of a node that knows no member
     TimeMs pullTimeoutMs = 600;
     int fullAnswers = 4; ///< full manifests sent per `fullAnswerWindowMs`
--- a/src/core/headreader.cpp
+++ b/src/core/headreader.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr TimeMs kNever = std::numeric_limits<TimeMs>::max();
+constexpr TimeMs kMinWatchMs = 1000;
 
 } // namespace
 
@@ -86,7 +87,7 @@
     m_fetch.notBefore = m_now + std::max(backoff(m_fetch.failures), m_windowMs);
 }
 
-void HeadReader::tick(TimeMs now, TimeMs windowMs)
+void HeadReader::tick(TimeMs now, TimeMs windowMs, bool pollOnly)
 {
     m_now = now;
     m_windowMs = windowMs;
@@ -99,7 +100,7 @@
     if ((m_readNeeded || m_watching) && !m_read.active && now >= m_read.notBefore) {
         startRead();
     }
-    if (m_watching && m_objectVersion && !m_watch.active && now >= m_watch.notBefore) {
+    if (m_watching && !pollOnly && m_objectVersion && !m_watch.active && now >= m_watch.notBefore) {
         startWatch();
     }
     if (m_wanted != 0 && !m_fetch.active && now >= m_fetch.notBefore) {
@@ -144,8 +145,9 @@
     answered(m_read);
     m_read.active = m_read.active && !current;
     m_readNeeded = false;
-    // The spread of the checks keeps the watchers of all zones from reading in step.
-    const TimeMs period = std::max(m_settings.headCheckMs, m_windowMs);
+    // Watchers spread their checks so as not to read in step. A node that is no watcher leaves the next window to the
+    // fetches that follow the first reads of a returning fleet.
+    const TimeMs period = std::max(m_settings.headCheckMs, 2 * m_windowMs);
     const auto jitter = static_cast<std::uint64_t>(period / 4) + 1;
     m_read.notBefore = m_now + period - static_cast<TimeMs>(m_random.below(jitter));
     if (missing) {
@@ -159,6 +161,7 @@
 void HeadReader::onWatchReply(std::int64_t id, const StoreReply &reply)
 {
     const bool current = m_watch.active && m_watch.id == id;
+    const std::int64_t before = m_objectVersion.value_or(0);
     if (reply.status == StoreStatus::Ok) {
         takeHead(reply);
     }
@@ -170,17 +173,16 @@
     case StoreStatus::Ok:
     case StoreStatus::Unchanged:
         answered(m_watch);
-        m_watch.notBefore = m_now;
+        // A watch that ends early without a change must not be repeated in a tight loop.
+        m_watch.notBefore = m_objectVersion.value_or(0) > before ? m_now : m_watch.startedAt + kMinWatchMs;
         break;
     case StoreStatus::Expired:
+        onWatchExpired();
+        break;
     case StoreStatus::NotFound:
+        // A missing object is polled at the period of the checks.
         answered(m_watch);
-        m_metrics.count("spread_watch_expired", storeStatusName(reply.status), 1);
         m_objectVersion.reset();
-        // A missing object is polled at the period of the checks, an expired history is read again at once.
-        if (reply.status == StoreStatus::Expired) {
-            m_read.notBefore = std::min(m_read.notBefore, std::max(m_now, m_throttledUntil));
-        }
         break;
     default:
         fail(m_watch, "watch", reply);
@@ -189,6 +191,16 @@
     }
 }
 
+void HeadReader::onWatchExpired()
+{
+    setReachable(true);
+    m_metrics.count("spread_watch_expired", "", 1);
+    m_objectVersion.reset();
+    // The first time `head` is read at once; a history that expires again and again is a reason to back off.
+    const TimeMs delay = ++m_watch.failures == 1 ? 0 : backoff(m_watch.failures);
+    m_read.notBefore = std::min(m_read.notBefore, std::max(m_now + delay, m_throttledUntil));
+}
+
 void HeadReader::onFetchReply(std::int64_t id, const std::string &digest, const StoreReply &reply)
 {
     const bool current = m_fetch.active && m_fetch.id == id;
@@ -227,6 +239,7 @@
 {
     ++call.id;
     call.active = true;
+    call.startedAt = m_now;
     call.deadline = m_now + timeoutMs;
     m_metrics.count("spread_platform_calls", name, 1);
 }
--- a/src/core/headreader_p.h
+++ b/src/core/headreader_p.h
@@ -41,8 +41,9 @@
     }
     /// Fetches the wanted content again after a back-off, because the last one was unusable.
     void refetch();
-    /// @param windowMs smallest time between two reads by a node that is not a watcher
-    void tick(TimeMs now, TimeMs windowMs);
+    /// @param windowMs smallest time between two reads, 0 for a watcher
+    /// @param pollOnly reads at the period of the checks instead of watching
+    void tick(TimeMs now, TimeMs windowMs, bool pollOnly);
 
     bool reachable() const
     {
@@ -54,6 +55,7 @@
     struct Call {
         std::int64_t id = 0;
         bool active = false;
+        TimeMs startedAt = 0;
         TimeMs deadline = 0;
         TimeMs notBefore = 0;
         int failures = 0;
@@ -64,6 +66,7 @@
     void startFetch();
     void onReadReply(std::int64_t id, const StoreReply &reply);
     void onWatchReply(std::int64_t id, const StoreReply &reply);
+    void onWatchExpired();
     void onFetchReply(std::int64_t id, const std::string &digest, const StoreReply &reply);
     bool takeHead(const StoreReply &reply);
     void begin(Call &call, std::string_view name, TimeMs timeoutMs);
--- a/src/core/spread.cpp
+++ b/src/core/spread.cpp
@@ -43,7 +43,8 @@
         return;
     }
     tickRole();
-    m_reader.tick(now, windowMs());
+    // A node that knows no member may be one of a fleet in which each node takes itself for a watcher.
+    m_reader.tick(now, windowMs(), m_members.liveCount() <= 1);
     tickPeerFloor();
     tickPush();
     tickPull();
--- /dev/null
+++ b/tests/core_spread_bounds.cpp
@@ -0,0 +1,169 @@
+#include <catch2/catch.hpp>
+
+#include "heldmanifests_p.h"
+#include "pushtree_p.h"
+#include "spreadchecks.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::test;
+
+// The bounds are those of section 1 of the design page.
+
+namespace {
+
+constexpr double kMeanCopies = 1.1;
+constexpr int kMostCopies = 2;
+constexpr std::int64_t kReadsPerSecond = 1000;
+
+Manifest parsed(const std::string &text)
+{
+    LastReason error;
+    return Manifest::parse(text, error).value();
+}
+
+HeldManifest heldVersion(Version version, const std::string &text)
+{
+    return {version, sha256Hex(text), std::make_shared<const Manifest>(parsed(text))};
+}
+
+std::size_t wireSize(const wire::Content &content)
+{
+    auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    content.write(&protocol);
+    return buffer->available_read();
+}
+
+} // namespace
+
+// Guards against copies of a change beyond the bound: mean 1.1 and never more than 2 without faults.
+TEST_CASE("copies of a change per node in a tree of 200 cores in 4 zones")
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(3); ++seed) {
+        CAPTURE(seed);
+        FleetSettings settings;
+        settings.nodes = 200;
+        settings.zones = 4;
+        settings.seed = seed;
+        SpreadFleet fleet(settings);
+        fleet.accept();
+        fleet.startAll();
+        requireAgreement(fleet);
+        fleet.run(3000);
+        for (int change = 0; change < 5; ++change) {
+            fleet.resetCopies();
+            fleet.accept();
+            requireAgreement(fleet, 1000);
+            fleet.run(1500);
+            const CopyCount copies = countCopies(fleet);
+            CHECK(copies.mean <= kMeanCopies);
+            CHECK(copies.most <= kMostCopies);
+        }
+    }
+}
+
+// Guards against a delta that carries more than the change: at most 2% of the full manifest.
+TEST_CASE("delta of one service's change at 390 services and 9,700 hosts")
+{
+    HeldManifests held;
+    held.add(heldVersion(1, manifestText(390, 25, 1)));
+    held.add(heldVersion(2, manifestText(390, 25, 391)));
+    const wire::Content full = held.contentFor(0);
+    const wire::Content delta = held.contentForPush();
+    REQUIRE(full.__isset.full);
+    REQUIRE(delta.__isset.delta);
+    CHECK(wireSize(delta) * 50 <= wireSize(full));
+}
+
+// Guards against a delta from a version that is no longer kept.
+TEST_CASE("a holder of 16 manifests sends the full one to a receiver that is further behind")
+{
+    HeldManifests held;
+    for (Version version = 1; version <= 20; ++version) {
+        held.add(heldVersion(version, manifestText(3, 2, static_cast<int>(version))));
+    }
+    CHECK(held.contentFor(4).__isset.full);
+    CHECK(held.contentFor(5).__isset.delta);
+    CHECK(held.contentFor(99).__isset.full);
+}
+
+// Guards against reads and writes per change that grow with the fleet.
+TEST_CASE("platform calls per change do not depend on the size of the fleet")
+{
+    for (const int nodes : {20, 100, 300}) {
+        CAPTURE(nodes);
+        FleetSettings settings;
+        settings.nodes = nodes;
+        settings.zones = 4;
+        SpreadFleet fleet(settings);
+        fleet.accept();
+        fleet.startAll();
+        requireAgreement(fleet);
+        fleet.run(5000);
+        const std::int64_t reads = fleet.platform.reads;
+        const std::int64_t watches = fleet.platform.watches;
+        fleet.accept();
+        fleet.run(1000);
+        // 12 watchers: each may check `head` once in this second, renew its watch and fetch the content.
+        CHECK(fleet.platform.reads - reads <= 12 * 2);
+        CHECK(fleet.platform.watches - watches <= 12);
+        CHECK(fleet.platform.writes == 0);
+    }
+}
+
+// Guards against a returning fleet that overloads the platform, also while each node knows only itself.
+TEST_CASE("restart of the whole fleet: platform calls per second")
+{
+    FleetSettings settings;
+    settings.nodes = 2500;
+    settings.zones = 7;
+    settings.services = 1;
+    SpreadFleet fleet(settings);
+    fleet.accept();
+    fleet.setAlone(true);
+    fleet.startAll();
+    fleet.run(20000);
+    CHECK(mostCallsPerSecond(fleet) <= kReadsPerSecond);
+
+    settings.nodes = 400;
+    SpreadFleet joined(settings);
+    joined.accept();
+    for (int restart = 0; restart < 3; ++restart) {
+        for (std::size_t i = 0; i < joined.size(); ++i) {
+            joined.kill(i);
+            joined.start(i);
+        }
+        joined.run(1500);
+    }
+    requireAgreement(joined);
+    CHECK(mostCallsPerSecond(joined) <= kReadsPerSecond);
+}
+
+// Guards against a member that is addressed twice, or left out, by delegates that know the same members.
+TEST_CASE("a tree reaches each member once")
+{
+    std::vector<Member> members;
+    for (int i = 0; i < 500; ++i) {
+        Member member;
+        member.host = "host-" + std::to_string(i);
+        member.hash = memberHash(member.host);
+        members.push_back(member);
+    }
+    std::sort(members.begin(), members.end(), [](const Member &a, const Member &b) { return a.hash < b.hash; });
+    for (const std::size_t root : {std::size_t{0}, std::size_t{250}, members.size() - 1}) {
+        std::map<std::string, int> reached;
+        std::vector<std::pair<const Member *, HashInterval>> pending{{&members[root], {}}};
+        while (!pending.empty()) {
+            const auto [member, interval] = pending.back();
+            pending.pop_back();
+            ++reached[member->host];
+            const auto parts = divideInterval(members, member->hash, interval, 8);
+            CHECK(parts.size() <= 8);
+            for (const Delegation &part : parts) {
+                pending.emplace_back(part.child, part.interval);
+            }
+        }
+        CHECK(reached.size() == members.size());
+        CHECK(std::all_of(reached.begin(), reached.end(), [](const auto &entry) { return entry.second == 1; }));
+    }
+}
--- /dev/null
+++ b/tests/core_spread_faults.cpp
@@ -0,0 +1,309 @@
+#include <catch2/catch.hpp>
+
+#include "spreadchecks.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::test;
+
+namespace {
+
+/// A fleet of 12 nodes in 3 zones that runs version 1.
+SpreadFleet &settled(SpreadFleet &fleet)
+{
+    fleet.accept();
+    fleet.startAll();
+    requireAgreement(fleet);
+    fleet.run(1000);
+    return fleet;
+}
+
+FleetSettings withPeerFloor()
+{
+    FleetSettings settings;
+    settings.spread.floor = VersionFloor::Peers;
+    return settings;
+}
+
+} // namespace
+
+// Guards against an outage that stops running nodes, and against a restarted node that serves without a floor.
+TEST_CASE("platform down: running nodes keep their version and a restarted node waits for the platform")
+{
+    const FleetSettings settings;
+    SpreadFleet fleet(settings);
+    settled(fleet);
+    fleet.platform.faults.status = StoreStatus::Unavailable;
+    fleet.kill(0);
+    fleet.start(0);
+    fleet.run(30000);
+    CHECK_FALSE(fleet.spread(0)->isReady());
+    CHECK(fleet.spread(0)->version() == 0);
+    CHECK(fleet.spread(0)->heldVersion() == 1);
+    for (std::size_t i = 1; i < fleet.size(); ++i) {
+        CHECK(fleet.spread(i)->isReady());
+        CHECK(fleet.spread(i)->version() == 1);
+    }
+    CHECK_FALSE(fleet.spread(fleet.firstWatcher("zone-1"))->platformReachable());
+    fleet.platform.faults = {};
+    requireAgreement(fleet);
+    fleet.run(settings.spread.backoffMaxMs + settings.spread.readTimeoutMs);
+    CHECK(fleet.spread(fleet.firstWatcher("zone-1"))->platformReachable());
+}
+
+// Guards against the peer floor not being found, or being taken from members that know no floor themselves.
+TEST_CASE("platform down with the peer floor: a restarted node runs the highest version of its peers")
+{
+    SpreadFleet fleet(withPeerFloor());
+    settled(fleet);
+    fleet.accept();
+    requireAgreement(fleet);
+    fleet.platform.faults.status = StoreStatus::Unavailable;
+    fleet.kill(0);
+    fleet.start(0);
+    requireAgreement(fleet);
+
+    // One survivor: the restarted members must not take each other's missing versions for a floor.
+    for (std::size_t i = 1; i < fleet.size(); ++i) {
+        fleet.kill(i);
+        fleet.start(i);
+    }
+    fleet.run(400);
+    for (std::size_t i = 1; i < fleet.size(); ++i) {
+        CHECK_FALSE(fleet.spread(i)->isReady());
+    }
+    fleet.run(20000);
+    requireAgreement(fleet, 1);
+}
+
+// Guards against a node that serves with neither the platform nor a peer.
+TEST_CASE("platform down and no peer known: the node is never ready")
+{
+    FleetSettings settings = withPeerFloor();
+    settings.nodes = 1;
+    settings.zones = 1;
+    SpreadFleet fleet(settings);
+    fleet.accept();
+    fleet.platform.faults.status = StoreStatus::Unavailable;
+    fleet.startAll();
+    fleet.run(60000);
+    CHECK_FALSE(fleet.spread(0)->isReady());
+    fleet.platform.faults = {};
+    requireAgreement(fleet);
+}
+
+// Guards against a slow platform whose late answers are thrown away.
+TEST_CASE("platform slow: a change is in force within 6 s")
+{
+    SpreadFleet fleet({});
+    settled(fleet);
+    fleet.platform.faults.latencyMs = 1500;
+    fleet.run(10000);
+    fleet.accept();
+    requireAgreement(fleet);
+}
+
+// Guards against calls before the time that the platform asked for.
+TEST_CASE("platform throttled: calls wait for retry-after, and a change arrives after it")
+{
+    SpreadFleet fleet({});
+    settled(fleet);
+    fleet.platform.faults.status = StoreStatus::Throttled;
+    fleet.platform.faults.retryAfterMs = 2000;
+    fleet.platform.dropWatches();
+    fleet.run(4000);
+    const std::int64_t before = fleet.platform.reads + fleet.platform.watches;
+    fleet.accept();
+    fleet.run(20000);
+    // 9 watchers with one read, one watch and one fetch per retry-after at most.
+    CHECK(fleet.platform.reads + fleet.platform.watches - before <= 9 * 3 * (20000 / 2000));
+    CHECK(fleet.spread(0)->version() == 1);
+    fleet.platform.faults = {};
+    requireAgreement(fleet);
+}
+
+// Guards against a watch whose history is gone being repeated for ever, at once or without reading `head`.
+TEST_CASE("history expired: head is read again, without a tight loop")
+{
+    SpreadFleet fleet({});
+    settled(fleet);
+    fleet.platform.faults.expireWatch = true;
+    fleet.platform.dropWatches();
+    fleet.run(30000);
+    const std::int64_t before = fleet.platform.reads + fleet.platform.watches;
+    fleet.run(10000);
+    CHECK(fleet.platform.reads + fleet.platform.watches - before <= 9 * 2 * 10);
+    fleet.accept();
+    requireAgreement(fleet);
+}
+
+// Guards against a change that nobody sees because every open watch went silent.
+TEST_CASE("watch silent: a change is in force within 6 s")
+{
+    SpreadFleet fleet({});
+    settled(fleet);
+    fleet.platform.faults.silentWatch = true;
+    fleet.platform.dropWatches();
+    for (int change = 0; change < 5; ++change) {
+        fleet.run(fleet.random.between(0, 3000));
+        fleet.accept();
+        requireAgreement(fleet);
+    }
+}
+
+// Guards against zones that stay apart after a partition.
+TEST_CASE("two zones parted and healed: the cut zone catches up within 6 s")
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(20); ++seed) {
+        CAPTURE(seed);
+        FleetSettings settings;
+        settings.seed = seed;
+        settings.zones = 2;
+        SpreadFleet fleet(settings);
+        settled(fleet);
+        fleet.part("zone-1");
+        fleet.unplugged = "zone-1";
+        fleet.accept();
+        fleet.accept();
+        fleet.run(10000);
+        CHECK(fleet.spread(0)->version() == 3);
+        CHECK(fleet.spread(1)->version() == 1);
+        fleet.heal(); // the platform stays out of reach of zone-1
+        requireAgreement(fleet);
+    }
+}
+
+// Guards against updates that overtake each other.
+TEST_CASE("crossing updates: the highest version wins on every node")
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(20); ++seed) {
+        CAPTURE(seed);
+        FleetSettings settings;
+        settings.seed = seed;
+        SpreadFleet fleet(settings);
+        settled(fleet);
+        fleet.network.latePerMille = 200;
+        fleet.network.doublePerMille = 200;
+        for (int change = 0; change < 6; ++change) {
+            fleet.accept();
+            fleet.run(fleet.random.between(1, 8));
+        }
+        fleet.network = {};
+        requireAgreement(fleet);
+    }
+}
+
+// Guards against a paused node that serves what it held, or whose old answers count as fresh.
+TEST_CASE("paused node: not ready until it has read the floor again")
+{
+    SpreadFleet fleet({});
+    settled(fleet);
+    const std::size_t watcher = fleet.firstWatcher("zone-0");
+    fleet.pause(watcher);
+    for (int change = 0; change < 20; ++change) {
+        fleet.accept();
+        fleet.run(1500);
+    }
+    CHECK(fleet.spread(watcher)->version() == 1);
+    fleet.resume(watcher);
+    CHECK_FALSE(fleet.spread(watcher)->isReady());
+    requireAgreement(fleet);
+}
+
+// Guards against a change lost with the watchers that would have pushed it.
+TEST_CASE("watcher death: the next rank takes over")
+{
+    for (int deaths = 1; deaths <= 4; ++deaths) {
+        CAPTURE(deaths);
+        FleetSettings settings;
+        settings.nodes = 30;
+        SpreadFleet fleet(settings);
+        settled(fleet);
+        // The members still list the dead watchers, so their tree parts are lost as well.
+        for (int i = 0; i < deaths; ++i) {
+            const std::string zone = "zone-" + std::to_string(i % 3);
+            fleet.kill(fleet.firstWatcher(zone));
+        }
+        fleet.accept();
+        requireAgreement(fleet);
+    }
+}
+
+// Guards against a bad manifest that is applied, or that keeps restarted nodes out of service.
+TEST_CASE("a bad content changes nothing, is counted with its reason, and does not block restarts")
+{
+    SpreadFleet fleet({});
+    settled(fleet);
+    const std::string bad = R"({"format":1,"services":[],"routes":[{"path_prefix":"/x","service":"x"}]})";
+    fleet.platform.put("manifest", sha256Hex(bad), bad);
+    fleet.acceptDigest(sha256Hex(bad), bad);
+    fleet.run(5000);
+    const Spread *watcher = fleet.spread(fleet.firstWatcher("zone-0"));
+    CHECK(watcher->version() == 1);
+    CHECK(watcher->isReady());
+    REQUIRE(watcher->lastRejection());
+    CHECK(watcher->lastRejection()->version == 2);
+    CHECK(watcher->lastRejection()->reason == "invalid: routes[0].service: no service \"x\" in this manifest");
+    CHECK(fleet.metrics["spread_rejected/invalid"] >= 1);
+
+    const std::size_t restarted = fleet.firstWatcher("zone-1");
+    fleet.kill(restarted);
+    fleet.start(restarted);
+    fleet.run(5000);
+    CHECK(fleet.spread(restarted)->isReady());
+    fleet.accept();
+    requireAgreement(fleet);
+}
+
+// Guards against a content that is missing in the platform for a time.
+TEST_CASE("a missing content is fetched again")
+{
+    SpreadFleet fleet({});
+    settled(fleet);
+    const std::string text = manifestText(3, 2, 77);
+    fleet.acceptDigest(sha256Hex(text), text);
+    fleet.run(10000);
+    CHECK(fleet.spread(0)->version() == 1);
+    fleet.platform.put("manifest", sha256Hex(text), text);
+    requireAgreement(fleet);
+}
+
+// Guards against damaged contents from peers.
+TEST_CASE("contents that do not match their digests change nothing and are counted")
+{
+    SpreadFleet fleet({});
+    settled(fleet);
+    fleet.network.corruptPerMille = 700;
+    for (int change = 0; change < 10; ++change) {
+        fleet.accept();
+        fleet.run(700);
+    }
+    CHECK(fleet.metrics["spread_rejected/digest-mismatch"] > 0);
+    CHECK(fleet.rules.violations.empty());
+    fleet.network = {};
+    requireAgreement(fleet);
+}
+
+// Guards against a holder that sends full manifests to all who ask at once.
+TEST_CASE("a holder sends at most the allowed number of full manifests and refuses the others")
+{
+    FleetSettings settings = withPeerFloor();
+    settings.nodes = 60;
+    settings.zones = 1;
+    SpreadFleet fleet(settings);
+    settled(fleet);
+    fleet.platform.faults.status = StoreStatus::Unavailable;
+    for (std::size_t i = 1; i < fleet.size(); ++i) {
+        fleet.kill(i);
+        fleet.start(i);
+    }
+    const double before = fleet.metrics["spread_answers/full"];
+    while (fleet.spread(0)->version() == 1 && fleet.metrics["spread_answers/full"] == before) {
+        fleet.run(1);
+    }
+    // The first receivers answer others after the settling time, so only the survivor sends in this time.
+    fleet.run(settings.spread.settleMs - 10);
+    CHECK(fleet.metrics["spread_answers/full"] - before <= settings.spread.fullAnswers);
+    fleet.run(60000);
+    requireAgreement(fleet, 1);
+    CHECK(fleet.metrics["spread_pulls_refused/"] > 0);
+}
--- /dev/null
+++ b/tests/core_spread_rules.cpp
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+
+#include "spreadchecks.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::test;
+
+// Each test breaks one rule with a double at a port and requires that the check of the other tests catches it.
+
+// Guards against a check that misses a version which falls over a restart.
+TEST_CASE("the check catches a version that falls")
+{
+    SpreadFleet fleet({});
+    fleet.accept();
+    fleet.accept();
+    fleet.startAll();
+    requireAgreement(fleet);
+    fleet.platform.alterHead = [](const std::string &text) {
+        LastReason error;
+        Head head = Head::parse(text, error).value();
+        head.recent.pop_back();
+        return head.toText();
+    };
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.kill(i);
+        fleet.start(i);
+    }
+    fleet.run(5000);
+    CHECK(fleet.rules.caught("fall"));
+}
+
+// Guards against a check that misses a content which was never accepted.
+TEST_CASE("the check catches a manifest that was not accepted")
+{
+    SpreadFleet fleet({});
+    fleet.accept();
+    fleet.startAll();
+    fleet.alterMessage = [](wire::Envelope &message) {
+        if (message.__isset.push) {
+            const std::string other = manifestText(2, 1, 7);
+            message.push.content.digest = sha256Hex(other);
+            message.push.content.__set_full(other);
+            message.push.content.__isset.delta = false;
+        }
+    };
+    fleet.run(5000);
+    CHECK(fleet.rules.caught("content"));
+}
+
+// Guards against a check that misses a version run by its only holder.
+TEST_CASE("the check catches a version that no other host holds")
+{
+    // One zone, because the watchers of other zones would hold the version by their own reads.
+    FleetSettings settings;
+    settings.zones = 1;
+    settings.spread.digestMs = 50;
+    SpreadFleet fleet(settings);
+    fleet.startAll();
+    fleet.alterMessage = [](wire::Envelope &message) {
+        message.__isset.push = false;
+        message.__isset.content = false;
+        message.__isset.digest = false;
+        wire::PushAck forged;
+        forged.version = 1;
+        message.__set_pushAck(forged);
+    };
+    fleet.run(3000);
+    fleet.accept();
+    fleet.run(3000);
+    CHECK(fleet.rules.caught("replication"));
+}
+
+// Guards against a check that takes a silent network for agreement.
+TEST_CASE("the check catches a fleet that does not agree")
+{
+    SpreadFleet fleet({});
+    fleet.accept();
+    fleet.startAll();
+    requireAgreement(fleet);
+    fleet.network.lossPerMille = 1000;
+    fleet.accept();
+    CHECK_FALSE(fleet.runUntilAgreed(kConvergenceMs));
+}
+
+// Guards against a count of copies that misses duplicates.
+TEST_CASE("the check catches too many copies")
+{
+    FleetSettings settings;
+    settings.nodes = 100;
+    settings.spread.way = SpreadWay::Gossip;
+    settings.spread.gossipFanOut = 8;
+    SpreadFleet fleet(settings);
+    fleet.accept();
+    fleet.startAll();
+    requireAgreement(fleet);
+    fleet.run(3000);
+    fleet.resetCopies();
+    fleet.accept();
+    fleet.run(1000);
+    CHECK(countCopies(fleet).mean > 1.1);
+    CHECK(countCopies(fleet).most > 2);
+}
+
+// Guards against a count of platform calls that misses a returning fleet.
+TEST_CASE("the check catches a fleet that returns without jitter")
+{
+    FleetSettings settings;
+    settings.nodes = 2000;
+    settings.spread.readsPerSecond = 1000000;
+    SpreadFleet fleet(settings);
+    fleet.accept();
+    fleet.setAlone(true);
+    fleet.startAll();
+    fleet.run(2000);
+    CHECK(mostCallsPerSecond(fleet) > 1000);
+}
--- /dev/null
+++ b/tests/spreadchecks.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+#include "spreadfleet.h"
+
+namespace fulmarledge::test {
+
+/// Bound of section 1 of the design page on convergence with faults.
+constexpr TimeMs kConvergenceMs = 6000;
+
+/// Number of seeds of a test, or the value of FULMARLEDGE_SEEDS for a longer run.
+inline std::uint64_t seedCount(std::uint64_t count)
+{
+    const char *text = std::getenv("FULMARLEDGE_SEEDS");
+    return text == nullptr ? count : std::strtoull(text, nullptr, 10);
+}
+
+inline std::string describe(const SpreadFleet &fleet)
+{
+    std::string text;
+    for (const std::string &violation : fleet.rules.violations) {
+        text += violation + "\n";
+    }
+    return text;
+}
+
+inline void requireAgreement(SpreadFleet &fleet, TimeMs limit = kConvergenceMs)
+{
+    const auto taken = fleet.runUntilAgreed(limit);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (const Spread *spread = fleet.spread(i)) {
+            UNSCOPED_INFO(i << ": version " << spread->version() << " held " << spread->heldVersion() << " ready "
+                            << spread->isReady());
+        }
+    }
+    INFO(describe(fleet));
+    REQUIRE(taken);
+    REQUIRE(fleet.rules.violations.empty());
+}
+
+struct CopyCount {
+    double mean = 0;
+    int most = 0;
+};
+
+/// Contents that a node received for the last change.
+inline CopyCount countCopies(const SpreadFleet &fleet)
+{
+    CopyCount count;
+    const std::vector<int> copies = fleet.copies();
+    for (const int copy : copies) {
+        count.mean += static_cast<double>(copy) / static_cast<double>(copies.size());
+        count.most = std::max(count.most, copy);
+    }
+    return count;
+}
+
+inline std::int64_t mostCallsPerSecond(const SpreadFleet &fleet)
+{
+    std::int64_t most = 0;
+    for (const auto &[second, calls] : fleet.platform.callsPerSecond) {
+        most = std::max(most, calls);
+    }
+    return most;
+}
+
+} // namespace fulmarledge::test
--- a/tests/spreadfleet.h
+++ b/tests/spreadfleet.h
@@ -244,6 +244,7 @@
     SpreadRules rules;
     CountingMetrics metrics;
     std::string parted;
+    std::string unplugged; ///< zone that cannot reach the platform
     std::function<void(wire::Envelope &)> alterMessage; ///< test double: changes messages on their way
     std::int64_t messages = 0;
     std::int64_t bytes = 0;
@@ -331,12 +332,16 @@
 
         void get(std::string_view kind, std::string_view name, StoreCallback callback) override
         {
-            fleet.platform.get(kind, name, whenAwake(std::move(callback)));
+            if (!refuse(callback)) {
+                fleet.platform.get(kind, name, whenAwake(std::move(callback)));
+            }
         }
         void watch(std::string_view kind, std::string_view name, std::int64_t from, std::int64_t timeout,
                    StoreCallback callback) override
         {
-            fleet.platform.watch(kind, name, from, timeout, whenAwake(std::move(callback)));
+            if (!refuse(callback)) {
+                fleet.platform.watch(kind, name, from, timeout, whenAwake(std::move(callback)));
+            }
         }
         void list(std::string_view kind, StoreCallback callback) override
         {
@@ -386,6 +391,15 @@
         {
             everHeld = std::max(everHeld, spread->heldVersion());
         }
+        /// Answers for a platform that this zone cannot reach.
+        bool refuse(const StoreCallback &callback)
+        {
+            if (fleet.unplugged != member.zone) {
+                return false;
+            }
+            fleet.queue.after(2, [awake = whenAwake(callback)] { awake({StoreStatus::Unavailable, {}, 0, "cut"}); });
+            return true;
+        }
         StoreCallback whenAwake(StoreCallback callback)
         {
             return [this, callback, current = life](const StoreReply &reply) {
