--- /dev/null
+++ b/tests/adapter_ctlnodes.cpp
@@ -0,0 +1,132 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <mutex>
+
+#include "ctl_nodes.h"
+#include "ctl_wait.h"
+#include "httpserver.h"
+
+using namespace fulmarledge;
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint16_t kFirstPort = 18720;
+constexpr std::uint16_t kClosedPort = 18729;
+
+/// Admin port of one node: fixed members and a status that tests may change.
+class FakeNode
+{
+public:
+    FakeNode(std::uint16_t port, json members, json status)
+        : m_members(std::move(members))
+        , m_status(std::move(status))
+        , m_server({{"127.0.0.1", port}, 1, 1 << 20}, [this](const HttpCall &call) { answer(call); })
+    {
+    }
+
+    std::atomic<int> asked{0};
+    std::atomic<int> upgradeAfter{-1}; ///< calls for the status until it reports version 4; -1 for never
+
+private:
+    void answer(const HttpCall &call)
+    {
+        if (call.path == "/v1/members") {
+            call.responder->send(200, {}, m_members.dump());
+            return;
+        }
+        if (call.path != "/v1/status") {
+            call.responder->send(404, {}, "");
+            return;
+        }
+        json status = m_status;
+        if (upgradeAfter >= 0 && asked >= upgradeAfter) {
+            status["version"] = 4;
+        }
+        ++asked;
+        call.responder->send(200, {}, status.dump());
+    }
+
+    json m_members;
+    json m_status;
+    HttpServer m_server;
+};
+
+json member(const std::string &host, std::uint16_t port, const std::string &liveness, const std::string &state)
+{
+    return {{"host", host},       {"zone", "ikeja"}, {"service", "bookings"}, {"address", "127.0.0.1"},
+            {"admin_port", port}, {"state", state},  {"liveness", liveness},  {"incarnation", 1},
+            {"version", 3},       {"age_ms", 700}};
+}
+
+json statusOf(Version version)
+{
+    return {{"version", version}, {"ready", true}, {"platform", {{"reachable", true}, {"age_ms", 10}}}};
+}
+
+WaitResult waitFor(std::vector<SocketAddress> nodes, std::int64_t limitMs)
+{
+    IoLoop loop;
+    HttpClient client(loop, 8);
+    NodeQuery query(client, 300, 2);
+    WaitResult result;
+    ConvergenceWait wait(loop, query, std::move(nodes), 4, limitMs, [&](const WaitResult &got) {
+        result = got;
+        loop.stop();
+    });
+    wait.start();
+    loop.run();
+    return result;
+}
+
+} // namespace
+
+// Guards against a wait that misses a node known only to other members, counts the dead, or ends too early.
+TEST_CASE("waiting asks every live member until all run the version")
+{
+    const json members
+        = {member("a", kFirstPort, "alive", "serving"), member("b", kFirstPort + 1, "suspect", "draining"),
+           member("c", kFirstPort + 2, "alive", "starting"), member("d", kClosedPort, "dead", "serving"),
+           member("e", kClosedPort, "alive", "left")};
+    FakeNode a(kFirstPort, members, statusOf(4));
+    FakeNode b(kFirstPort + 1, json::array(), statusOf(3));
+    FakeNode c(kFirstPort + 2, json::array(), statusOf(5));
+    b.upgradeAfter = 2;
+    const WaitResult result = waitFor({{"127.0.0.1", kClosedPort}, {"127.0.0.1", kFirstPort}}, 5000);
+    CHECK(result.converged);
+    CHECK(result.nodes == 3);
+    CHECK(a.asked == 1);
+    CHECK(b.asked == 3);
+    CHECK(c.asked == 1);
+}
+
+// Guards against a lagging node without a name or a reason, and against success without any proof.
+TEST_CASE("waiting names the nodes that lag and why")
+{
+    const json members
+        = {member("a", kFirstPort + 3, "alive", "serving"), member("b", kFirstPort + 4, "alive", "serving"),
+           member("c", kClosedPort, "alive", "serving")};
+    json rejecting = statusOf(3);
+    rejecting["rejected"] = {{"version", 4}, {"reason", "digest differs"}};
+    rejecting["platform"] = {{"reachable", false}, {"age_ms", 9000}};
+    rejecting["ready"] = false;
+    const FakeNode a(kFirstPort + 3, members, statusOf(4));
+    const FakeNode b(kFirstPort + 4, json::array(), rejecting);
+    const WaitResult result = waitFor({{"127.0.0.1", kFirstPort + 3}}, 400);
+    CHECK_FALSE(result.converged);
+    CHECK(result.elapsedMs >= 400);
+    REQUIRE(result.lagging.size() == 2);
+    CHECK(result.lagging.at("b")
+          == "runs version 3, rejected version 4: digest differs, platform last reached 9000 ms ago, not ready");
+    CHECK(result.lagging.at("c").find("could not be asked: ") == 0);
+    CHECK(result.lagging.at("c").find("last reported version 3, 700 ms ago") != std::string::npos);
+
+    const WaitResult nobody = waitFor({{"127.0.0.1", kClosedPort}}, 200);
+    CHECK_FALSE(nobody.converged);
+    CHECK(nobody.failure.find("node 127.0.0.1:18729: ") == 0);
+    const FakeNode empty(kFirstPort + 5, json::array(), statusOf(4));
+    CHECK_FALSE(waitFor({{"127.0.0.1", kFirstPort + 5}}, 200).converged);
+    const FakeNode malformed(kFirstPort + 6, json{{"members", 1}}, statusOf(4));
+    CHECK(waitFor({{"127.0.0.1", kFirstPort + 6}}, 200).failure == "the list of members is malformed");
+}
--- /dev/null
+++ b/tests/adapter_httpstore.cpp
@@ -0,0 +1,333 @@
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <future>
+#include <random>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include "fulmarledge/submission.h"
+#include "httpstore.h"
+#include "metrics.h"
+#include "platformstandin_http.h"
+
+using namespace fulmarledge;
+
+namespace {
+
+// Each test has ports of its own, because tests run side by side.
+constexpr std::uint16_t kResetPort = 18710;
+constexpr std::uint16_t kClosedPort = 18711;
+
+using Start = std::function<void(StoreCallback)>;
+
+/// The stand-in and a client on one loop that runs on a thread of its own.
+class Platform
+{
+public:
+    explicit Platform(std::uint16_t port, std::int64_t timeoutMs = 2000, bool standin = true)
+        : client(loop, 64)
+        , store(client, metrics, {{"127.0.0.1", port}, timeoutMs, 1000})
+    {
+        if (standin) {
+            server = std::make_unique<PlatformStandinServer>(loop, SocketAddress{"127.0.0.1", port});
+        }
+        m_thread = std::thread([this] { loop.run(); });
+    }
+    ~Platform()
+    {
+        loop.stop();
+        m_thread.join();
+    }
+    Platform(const Platform &) = delete;
+    Platform &operator=(const Platform &) = delete;
+
+    std::future<StoreReply> begin(const Start &start)
+    {
+        auto promise = std::make_shared<std::promise<StoreReply>>();
+        loop.post([start, promise] { start([promise](const StoreReply &reply) { promise->set_value(reply); }); });
+        return promise->get_future();
+    }
+    static StoreReply finish(std::future<StoreReply> &future)
+    {
+        REQUIRE(future.wait_for(std::chrono::seconds(10)) == std::future_status::ready);
+        return future.get();
+    }
+    StoreReply call(const Start &start)
+    {
+        auto future = begin(start);
+        return finish(future);
+    }
+    StoreReply get(const std::string &kind, const std::string &name)
+    {
+        return call([=, this](StoreCallback done) { store.get(kind, name, std::move(done)); });
+    }
+    StoreReply create(const std::string &kind, const std::string &name, const std::string &value)
+    {
+        return call([=, this](StoreCallback done) { store.create(kind, name, value, std::move(done)); });
+    }
+    StoreReply update(const std::string &kind, const std::string &name, std::int64_t version, const std::string &value)
+    {
+        return call([=, this](StoreCallback done) { store.update(kind, name, version, value, std::move(done)); });
+    }
+    StoreReply remove(const std::string &kind, const std::string &name, std::int64_t version)
+    {
+        return call([=, this](StoreCallback done) { store.remove(kind, name, version, std::move(done)); });
+    }
+    Start watching(const std::string &name, std::int64_t from, std::int64_t timeoutMs)
+    {
+        return [=, this](StoreCallback done) { store.watch("head", name, from, timeoutMs, std::move(done)); };
+    }
+    void run(const std::function<void()> &task)
+    {
+        std::promise<void> done;
+        loop.post([&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+    void faults(const std::string &text)
+    {
+        LastReason error;
+        bool accepted = false;
+        run([&] { accepted = server->store().setFaults(text, monotonicMs(), error); });
+        INFO(error.text());
+        REQUIRE(accepted);
+    }
+    std::string stats()
+    {
+        std::string text;
+        run([&] { text = server->store().statsText(); });
+        return text;
+    }
+    /// Waits until the stand-in holds `count` watches. Calls on different connections arrive in any order.
+    void awaitWatches(int count)
+    {
+        const std::string wanted = "\"now\":" + std::to_string(count) + "}";
+        for (int i = 0; i < 1000 && stats().find(wanted) == std::string::npos; ++i) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        REQUIRE(stats().find(wanted) != std::string::npos);
+    }
+
+    IoLoop loop;
+    Metrics metrics{"test", "z"};
+    HttpClient client;
+    HttpStore store;
+    std::unique_ptr<PlatformStandinServer> server;
+
+private:
+    std::thread m_thread;
+};
+
+/// Accepts connections, reads once and closes them without a response.
+class ClosingServer
+{
+public:
+    ClosingServer()
+        : m_fd(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const int one = 1;
+        setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(kResetPort);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(bind(m_fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+        REQUIRE(listen(m_fd, 8) == 0);
+        m_thread = std::thread([this] { serve(); });
+    }
+    ~ClosingServer()
+    {
+        shutdown(m_fd, SHUT_RDWR);
+        m_thread.join();
+        close(m_fd);
+    }
+    ClosingServer(const ClosingServer &) = delete;
+    ClosingServer &operator=(const ClosingServer &) = delete;
+
+private:
+    void serve() const
+    {
+        for (int fd = accept(m_fd, nullptr, nullptr); fd >= 0; fd = accept(m_fd, nullptr, nullptr)) {
+            char buffer[4096];
+            [[maybe_unused]] const ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
+            close(fd);
+        }
+    }
+
+    int m_fd;
+    std::thread m_thread;
+};
+
+using S = StoreStatus;
+
+} // namespace
+
+// Guards against a status of the platform that is mapped to another one, and against a call that is not counted.
+TEST_CASE("each operation reports what the platform did")
+{
+    Platform platform(18700);
+    CHECK(platform.get("head", "head").status == S::NotFound);
+    const StoreReply created = platform.create("head", "head", "one");
+    REQUIRE(created.status == S::Ok);
+    CHECK(platform.create("head", "head", "two").status == S::Conflict);
+    const std::int64_t first = created.objects.at(0).version;
+    CHECK(platform.update("head", "head", first + 1, "two").status == S::Conflict);
+    const StoreReply updated = platform.update("head", "head", first, "two");
+    REQUIRE(updated.status == S::Ok);
+    CHECK(updated.objects.at(0).version > first);
+    const StoreReply read = platform.get("head", "head");
+    CHECK(read.objects.at(0).value == "two");
+    CHECK(read.objects.at(0).version == updated.objects.at(0).version);
+    CHECK(platform.create("contact", "a-1", "x\"y").status == S::Ok);
+    const StoreReply list = platform.call([&](StoreCallback done) { platform.store.list("contact", std::move(done)); });
+    REQUIRE(list.objects.size() == 1);
+    CHECK(list.objects[0].value == "x\"y");
+    CHECK(platform.remove("head", "head", first).status == S::Conflict);
+    CHECK(platform.remove("head", "head", updated.objects.at(0).version).status == S::Ok);
+    CHECK(platform.update("head", "head", first, "x").status == S::NotFound);
+    CHECK(platform.create("head", "head", "three").objects.at(0).version > updated.objects.at(0).version);
+    const std::string largest(1000000, 'v');
+    CHECK(platform.create("manifest", "m", largest).status == S::Ok);
+    CHECK(platform.get("manifest", "m").objects.at(0).value == largest);
+    CHECK(platform.create("manifest", "n", largest + "v").status == S::Invalid);
+    // A name must not address another object.
+    CHECK(platform.get("manifest", "../head/head").status != S::Ok);
+    const std::string metrics = platform.metrics.toText();
+    CHECK(metrics.find("kind=\"update conflict\"} 1") != std::string::npos);
+    CHECK(metrics.find("kind=\"create ok\"} 4") != std::string::npos);
+}
+
+// Guards against a missed or repeated change, and against a watch that does not end.
+TEST_CASE("a watch ends by change, time, expiry or removal")
+{
+    Platform platform(18701);
+    auto absent = platform.begin(platform.watching("head", 0, 5000));
+    const std::int64_t first = platform.create("head", "head", "one").objects.at(0).version;
+    CHECK(Platform::finish(absent).objects.at(0).value == "one");
+    CHECK(platform.call(platform.watching("head", first, 50)).status == S::Unchanged);
+    auto waiting = platform.begin(platform.watching("head", first, 5000));
+    const std::int64_t second = platform.update("head", "head", first, "two").objects.at(0).version;
+    CHECK(Platform::finish(waiting).objects.at(0).version == second);
+    CHECK(platform.call(platform.watching("head", first, 5000)).objects.at(0).value == "two");
+    auto expiring = platform.begin(platform.watching("head", second, 5000));
+    platform.awaitWatches(1);
+    platform.faults(R"({"mode":"expire","for_ms":0})");
+    CHECK(Platform::finish(expiring).status == S::Expired);
+    CHECK(platform.call(platform.watching("head", first, 5000)).status == S::Expired);
+    CHECK(platform.call(platform.watching("head", second, 50)).status == S::Unchanged);
+    CHECK(platform.call(platform.watching("head", second + 100, 5000)).status == S::Expired);
+    auto removed = platform.begin(platform.watching("head", second, 5000));
+    CHECK(platform.remove("head", "head", second).status == S::Ok);
+    CHECK(Platform::finish(removed).status == S::NotFound);
+}
+
+// Guards against a write that may have taken effect being reported as certainly without effect.
+TEST_CASE("faults are reported by what is certain")
+{
+    Platform platform(18702, 300);
+    const std::int64_t version = platform.create("head", "head", "one").objects.at(0).version;
+    platform.faults(R"({"mode":"down","kinds":["head"]})");
+    CHECK(platform.update("head", "head", version, "two").status == S::Unavailable);
+    CHECK(platform.get("head", "head").status == S::Unavailable);
+    CHECK(platform.get("contact", "c").status == S::NotFound);
+    platform.faults(R"([{"mode":"throttle","rate":0,"retry_after_ms":70,"operations":["get"]},{"mode":"lose"}])");
+    const StoreReply throttled = platform.get("head", "head");
+    CHECK(throttled.status == S::Throttled);
+    CHECK(throttled.retryAfterMs == 70);
+    CHECK(platform.update("head", "head", version, "two").status == S::UnknownOutcome);
+    platform.faults(R"({"mode":"slow","delay_ms":100})");
+    CHECK(platform.get("head", "head").objects.at(0).value == "two");
+    platform.faults(R"({"mode":"slow","delay_ms":800})");
+    CHECK(platform.get("head", "head").status == S::Unavailable);
+    CHECK(platform.create("head", "other", "x").status == S::UnknownOutcome);
+    platform.faults(R"({"mode":"silent"})");
+    CHECK(platform.call(platform.watching("head", 0, 50)).status == S::Unavailable);
+    platform.faults(R"({"mode":"down","for_ms":0})");
+    CHECK(platform.get("head", "head").status == S::Ok);
+    LastReason error;
+    platform.run([&] { CHECK_FALSE(platform.server->store().setFaults(R"({"mode":"off"})", 0, error)); });
+    CHECK(error.text() == "mode: unknown mode \"off\"");
+    CHECK(platform.stats().find("\"lost\":1") != std::string::npos);
+}
+
+// Guards against calling a broken connection "unavailable" for a write, or a refused one "unknown".
+TEST_CASE("a connection that breaks after sending leaves a write unknown")
+{
+    const ClosingServer closing;
+    Platform broken(kResetPort, 2000, false);
+    CHECK(broken.create("head", "head", "x").status == S::UnknownOutcome);
+    CHECK(broken.get("head", "head").status == S::Unavailable);
+    Platform closed(kClosedPort, 2000, false);
+    CHECK(closed.create("head", "head", "x").status == S::Unavailable);
+}
+
+// Guards against a stand-in that cannot hold the watches of a whole fleet in `direct` mode.
+TEST_CASE("the stand-in holds 600 waiting watches")
+{
+    Platform platform(18703, 8000);
+    std::vector<std::future<StoreReply>> watches;
+    for (int i = 0; i < 600; ++i) {
+        watches.push_back(platform.begin(platform.watching("head", 0, 8000)));
+    }
+    platform.awaitWatches(600);
+    CHECK(platform.create("head", "head", "one").status == S::Ok);
+    for (auto &watch : watches) {
+        CHECK(Platform::finish(watch).status == S::Ok);
+    }
+    CHECK(platform.stats().find("\"most\":600") != std::string::npos);
+}
+
+namespace {
+
+class DeviceRandom : public RandomSource
+{
+public:
+    std::uint64_t below(std::uint64_t bound) override
+    {
+        return m_device() % bound;
+    }
+
+private:
+    std::random_device m_device;
+};
+
+} // namespace
+
+// Guards against a lost answer that leads to a second acceptance or to a false refusal over real connections.
+TEST_CASE("a submission whose answers are lost is accepted once")
+{
+    Platform platform(18704, 200);
+    platform.faults(R"({"mode":"lose","for_ms":700})");
+    SubmissionRequest request;
+    request.text
+        = R"({"format":1,"services":[{"name":"a","backend_servers":["h"]}],"routes":[{"path_prefix":"/a","service":"a"}]})";
+    request.submission = "s-1";
+    DeviceRandom random;
+    std::promise<SubmissionResult> promise;
+    auto submission = std::make_unique<Submission>(platform.store, random, Submission::Settings(), request,
+                                                   [&](const SubmissionResult &result) { promise.set_value(result); });
+    const std::function<void()> tick = [&] {
+        if (submission) {
+            submission->tick(monotonicMs());
+            platform.loop.runAfter(5, tick);
+        }
+    };
+    platform.run([&] {
+        submission->start(monotonicMs());
+        tick();
+    });
+    auto future = promise.get_future();
+    REQUIRE(future.wait_for(std::chrono::seconds(10)) == std::future_status::ready);
+    platform.run([&] { submission.reset(); });
+    const SubmissionResult result = future.get();
+    CHECK(result.outcome == SubmissionOutcome::Accepted);
+    CHECK(result.version == 1);
+    LastReason error;
+    const auto head = Head::parse(platform.get("head", "head").objects.at(0).value, error);
+    REQUIRE(head);
+    CHECK(head->recent.size() == 1);
+}
--- /dev/null
+++ b/tests/submissionfakes.h
@@ -0,0 +1,372 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fulmarledge/config.h"
+#include "fulmarledge/manifest.h"
+#include "fulmarledge/submission.h"
+
+namespace fulmarledge::test {
+
+class SeededRandom : public RandomSource
+{
+public:
+    explicit SeededRandom(std::uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+    std::uint64_t below(std::uint64_t bound) override
+    {
+        return m_engine() % bound;
+    }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+/// What happens to one call on its way.
+enum class CallFate { Normal, Refused, Throttled, RequestLost, AnswerLost, EffectLate };
+
+/// Object store with a queue of events that run in random order, so calls of several operators overlap. Records every
+/// value that `head` has had.
+class FakeStore
+{
+public:
+    explicit FakeStore(SeededRandom &rng)
+        : random(rng)
+    {
+    }
+
+    void call(bool write, std::function<StoreReply()> effect, StoreCallback callback)
+    {
+        const CallFate fate = pickFate(write);
+        events.push_back([this, fate, effect = std::move(effect), callback = std::move(callback)] {
+            deliver(fate, effect, callback);
+        });
+    }
+    bool runOne()
+    {
+        if (events.empty()) {
+            return false;
+        }
+        const auto event = events.begin() + static_cast<std::ptrdiff_t>(random.below(events.size()));
+        const std::function<void()> run = std::move(*event);
+        events.erase(event);
+        run();
+        return true;
+    }
+
+    StoreReply read(const std::string &kind, const std::string &name) const
+    {
+        const auto found = objects.find({kind, name});
+        if (found == objects.end()) {
+            return {StoreStatus::NotFound, {}, 0, {}};
+        }
+        return {StoreStatus::Ok, {found->second}, 0, {}};
+    }
+    /// Writes unless the version differs from `expected`; 0 means that the object must not exist.
+    StoreReply write(const std::string &kind, const std::string &name, std::int64_t expected, const std::string &value)
+    {
+        StoreObject &object = objects.try_emplace({kind, name}).first->second;
+        if (object.version != expected && !ignoreVersions) {
+            if (!writeDespiteConflict || kind != kHeadKind) {
+                return {StoreStatus::Conflict, {}, 0, {}};
+            }
+        }
+        const bool conflict = object.version != expected && !ignoreVersions;
+        object = {kind, name, ++revision, value};
+        if (kind == kHeadKind) {
+            LastReason error;
+            journal.push_back(*Head::parse(value, error));
+        }
+        return {conflict ? StoreStatus::Conflict : StoreStatus::Ok, {object}, 0, {}};
+    }
+    Head head() const
+    {
+        return journal.empty() ? Head() : journal.back();
+    }
+    /// An acceptance by an operator that is not under test. `storeHead` makes it visible.
+    void acceptOther(const std::string &digest)
+    {
+        journal.push_back(head().accept(digest, "other-" + std::to_string(++revision), 1));
+    }
+    /// Stores the newest value of `head` after a run of `acceptOther`.
+    void storeHead()
+    {
+        if (!journal.empty()) {
+            const std::string kind(kHeadKind);
+            objects[{kind, std::string(kHeadName)}] = {kind, std::string(kHeadName), revision, head().toText()};
+        }
+    }
+
+    SeededRandom &random;
+    std::uint64_t faultPercent = 0;
+    bool ignoreVersions = false; ///< broken on purpose: updates are not conditional
+    bool writeDespiteConflict = false; ///< broken on purpose: a refused update of `head` takes effect
+    std::map<std::pair<std::string, std::string>, StoreObject> objects;
+    std::vector<Head> journal;
+    std::vector<std::function<void()>> events;
+    std::int64_t revision = 0;
+
+private:
+    CallFate pickFate(bool write)
+    {
+        if (random.below(100) >= faultPercent) {
+            return CallFate::Normal;
+        }
+        return write ? static_cast<CallFate>(1 + random.below(5)) : static_cast<CallFate>(1 + random.below(2));
+    }
+    void deliver(CallFate fate, const std::function<StoreReply()> &effect, const StoreCallback &callback)
+    {
+        StoreReply reply{StoreStatus::UnknownOutcome, {}, 0, "lost"};
+        switch (fate) {
+        case CallFate::Normal:
+            reply = effect();
+            break;
+        case CallFate::Refused:
+            reply.status = StoreStatus::Unavailable;
+            break;
+        case CallFate::Throttled:
+            reply = {StoreStatus::Throttled, {}, static_cast<std::int64_t>(random.below(300)), "throttled"};
+            break;
+        case CallFate::RequestLost:
+            break;
+        case CallFate::AnswerLost:
+            effect();
+            break;
+        case CallFate::EffectLate:
+            events.push_back([effect] { effect(); });
+            break;
+        }
+        events.push_back([callback, reply] { callback(reply); });
+    }
+};
+
+enum class CallStep { CreateContent, ReadHead, ReadContent, UpdateHead, ReadBack };
+
+/// One operator's view of the store. Hooks replace replies and written heads, to force a status or to break a rule.
+class OperatorStore : public PlatformStore
+{
+public:
+    explicit OperatorStore(FakeStore &shared)
+        : store(shared)
+    {
+    }
+
+    void get(std::string_view kind, std::string_view name, StoreCallback callback) override
+    {
+        const CallStep step = kind == kManifestKind ? CallStep::ReadContent
+            : m_updated                             ? CallStep::ReadBack
+                                                    : CallStep::ReadHead;
+        send(
+            step, false, [this, k = std::string(kind), n = std::string(name)] { return store.read(k, n); },
+            std::move(callback));
+    }
+    void create(std::string_view kind, std::string_view name, std::string_view value, StoreCallback callback) override
+    {
+        update(kind, name, 0, value, std::move(callback));
+    }
+    void update(std::string_view kind, std::string_view name, std::int64_t expected, std::string_view value,
+                StoreCallback callback) override
+    {
+        std::string text(value);
+        CallStep step = CallStep::CreateContent;
+        if (kind == kHeadKind) {
+            step = CallStep::UpdateHead;
+            m_updated = true;
+            if (rewriteHead) {
+                text = rewriteHead(text);
+            }
+        } else if (dropContent) {
+            callback({StoreStatus::Ok, {}, 0, {}});
+            return;
+        }
+        send(
+            step, true,
+            [this, k = std::string(kind), n = std::string(name), expected, text] {
+                return rebase && k == kHeadKind ? writeOnNewest(text) : store.write(k, n, expected, text);
+            },
+            std::move(callback));
+    }
+    void list(std::string_view, StoreCallback) override
+    {
+    }
+    void remove(std::string_view, std::string_view, std::int64_t, StoreCallback) override
+    {
+    }
+    void watch(std::string_view, std::string_view, std::int64_t, std::int64_t, StoreCallback) override
+    {
+    }
+
+    FakeStore &store;
+    std::optional<Version> base; ///< newest version in the first `head` that was read
+    std::function<void(CallStep, StoreReply &)> rewriteReply;
+    std::function<std::string(const std::string &)> rewriteHead;
+    bool dropContent = false; ///< broken on purpose: contents are not stored
+    bool rebase = false; ///< broken on purpose: an update is applied to whatever `head` is now
+
+private:
+    StoreReply writeOnNewest(const std::string &text)
+    {
+        LastReason error;
+        const Acceptance own = Head::parse(text, error)->recent.back();
+        const StoreReply current = store.read(std::string(kHeadKind), std::string(kHeadName));
+        return store.write(std::string(kHeadKind), std::string(kHeadName),
+                           current.objects.empty() ? 0 : current.objects.front().version,
+                           store.head().accept(own.digest, own.submission, own.acceptedMs).toText());
+    }
+    void send(CallStep step, bool write, std::function<StoreReply()> effect, StoreCallback callback)
+    {
+        store.call(write, std::move(effect), [this, step, callback = std::move(callback)](const StoreReply &original) {
+            StoreReply reply = original;
+            if (rewriteReply) {
+                rewriteReply(step, reply);
+            }
+            if (step == CallStep::ReadHead && !base && reply.objects.size() == 1) {
+                LastReason error;
+                base = Head::parse(reply.objects.front().value, error)->version();
+            } else if (step == CallStep::ReadHead && !base && reply.status == StoreStatus::NotFound) {
+                base = 0;
+            }
+            callback(reply);
+        });
+    }
+
+    bool m_updated = false;
+};
+
+inline std::string manifestText(std::uint64_t number)
+{
+    return R"({"format":1,"services":[{"name":"a","backend_servers":["h"],"timeout_ms":)" + std::to_string(number + 1)
+        + R"(}],"routes":[{"path_prefix":"/a","service":"a"}]})";
+}
+
+inline std::string canonicalText(std::uint64_t number)
+{
+    LastReason error;
+    return Manifest::parse(manifestText(number), error)->canonicalText();
+}
+
+inline const std::string &manifestDigest(std::uint64_t number)
+{
+    static std::map<std::uint64_t, std::string> digests;
+    std::string &digest = digests[number];
+    if (digest.empty()) {
+        digest = sha256Hex(canonicalText(number));
+    }
+    return digest;
+}
+
+/// Stores the manifests 0 to `contents` - 1 and accepts `versions` of them in turn.
+inline void fillStore(FakeStore &store, std::uint64_t contents, std::uint64_t versions)
+{
+    for (std::uint64_t i = 0; i < contents; ++i) {
+        store.write(std::string(kManifestKind), manifestDigest(i), 0, canonicalText(i));
+    }
+    for (std::uint64_t i = 0; i < versions; ++i) {
+        store.acceptOther(manifestDigest(i % contents));
+    }
+    store.storeHead();
+}
+
+struct Operator {
+    Operator(FakeStore &shared, SubmissionRequest order, Submission::Settings settings)
+        : store(shared)
+        , request(std::move(order))
+        , submission(store, shared.random, settings, request, [this](const SubmissionResult &got) { result = got; })
+    {
+    }
+
+    OperatorStore store;
+    SubmissionRequest request;
+    Submission submission;
+    std::optional<SubmissionResult> result;
+};
+
+using Operators = std::vector<std::unique_ptr<Operator>>;
+
+/// Runs until every operator has a result and every late effect has happened.
+inline void runAll(FakeStore &store, const Operators &operators)
+{
+    TimeMs now = 1000;
+    for (const auto &entry : operators) {
+        entry->submission.start(now);
+    }
+    const auto busy = [&] {
+        return std::any_of(operators.begin(), operators.end(), [](const auto &entry) { return !entry->result; });
+    };
+    while (store.runOne() || busy()) {
+        now += static_cast<TimeMs>(store.random.below(20));
+        for (const auto &entry : operators) {
+            entry->submission.tick(now);
+        }
+    }
+}
+
+inline std::string checkOperator(const FakeStore &store, const Operator &entry)
+{
+    const SubmissionResult &result = *entry.result;
+    const std::string who = entry.request.submission + " got " + std::string(submissionOutcomeName(result.outcome));
+    const Acceptance *own = nullptr;
+    for (const Head &head : store.journal) {
+        if (head.recent.back().submission == entry.request.submission) {
+            own = &head.recent.back();
+        }
+    }
+    if (result.outcome == SubmissionOutcome::UnknownOutcome) {
+        return {};
+    }
+    if (result.outcome != SubmissionOutcome::Accepted) {
+        return own != nullptr ? who + ", but was accepted" : std::string();
+    }
+    if (own == nullptr || own->version != result.version || own->digest != result.digest) {
+        return who + ", but head does not say so";
+    }
+    if (entry.store.base && own->version != *entry.store.base + 1) {
+        return who + ", but not directly after the version it had read";
+    }
+    if (!store.objects.contains({std::string(kManifestKind), own->digest})) {
+        return who + ", but the content is missing";
+    }
+    if (entry.request.expect && own->version != *entry.request.expect + 1) {
+        return who + ", but not directly after the expected version";
+    }
+    if (entry.request.revertTo) {
+        const Acceptance &target = store.journal[static_cast<std::size_t>(*entry.request.revertTo - 1)].recent.back();
+        return target.digest == own->digest ? std::string() : who + ", with other content than the version named";
+    }
+    return {};
+}
+
+/// First broken rule, or an empty text.
+inline std::string brokenRule(const FakeStore &store, const Operators &operators)
+{
+    std::set<std::string> ids;
+    for (std::size_t i = 0; i < store.journal.size(); ++i) {
+        const Acceptance &newest = store.journal[i].recent.back();
+        if (newest.version != static_cast<Version>(i + 1)) {
+            return "acceptance " + std::to_string(i + 1) + " has version " + std::to_string(newest.version);
+        }
+        if (!ids.insert(newest.submission).second) {
+            return newest.submission + " was accepted twice";
+        }
+    }
+    for (const auto &entry : operators) {
+        if (std::string broken = checkOperator(store, *entry); !broken.empty()) {
+            return broken;
+        }
+        if (entry->result->winner && !ids.contains(entry->result->winner->submission)) {
+            return entry->request.submission + " lost against a submission that was not accepted";
+        }
+    }
+    return {};
+}
+
+} // namespace fulmarledge::test
