Test hops and the request path, and detect silent hop connections

Cause: a hop connection to a peer that no longer reads was never closed, because each heartbeat that the kernel accepted counted as progress. Change: only received bytes count. Tests cover crossed, late, short, silent and oversized hop frames, a reused backend connection that closes, truncated and late answers, header rules, HEAD and 204, a caller that goes away, drain and shed requests.

--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -17,7 +17,7 @@
 
 struct HopConfig {
     std::int64_t beatMs = 1000; ///< period of the application heartbeat
-    std::int64_t silenceMs = 3000; ///< a connection without progress for this time is closed
+    std::int64_t silenceMs = 3000; ///< a connection that received nothing for this time is closed
     std::int64_t connectTimeoutMs = 1000;
     std::int64_t idleMs = 60000; ///< a connection without requests for this time is closed
     std::size_t maxFrameBytes = 72 * 1024 * 1024; ///< one answer of at most 64 MB and its fields
@@ -68,7 +68,7 @@
     TimerId m_beatTimer;
     TimerId m_failTimer;
     TimeMs m_opened;
-    TimeMs m_lastProgress;
+    TimeMs m_lastRead; ///< a write proves nothing: the kernel takes it for a silent peer too
     std::int64_t m_beats = 0;
     std::string m_in;
     std::string m_out;
--- a/src/adapters/hoplink.cpp
+++ b/src/adapters/hoplink.cpp
@@ -73,7 +73,7 @@
     , m_config(config)
     , m_handlers(std::move(handlers))
     , m_opened(monotonicMs())
-    , m_lastProgress(m_opened)
+    , m_lastRead(m_opened)
 {
     m_loop.addFd(m_fd, EPOLLIN | (connecting ? EPOLLOUT : 0U), [this](std::uint32_t events) { onEvents(events); });
     m_beatTimer = m_loop.runAfter(m_config.beatMs, [this] { onBeat(); });
@@ -120,7 +120,6 @@
         }
         m_outStart += static_cast<std::size_t>(sent);
         m_written += static_cast<std::uint64_t>(sent);
-        m_lastProgress = monotonicMs();
     }
     if (m_outStart == m_out.size()) {
         m_out.clear();
@@ -168,7 +167,7 @@
             return;
         }
         m_connecting = false;
-        m_lastProgress = monotonicMs();
+        m_lastRead = monotonicMs();
     }
     const std::shared_ptr<bool> alive = m_alive;
     const bool open = readAvailable();
@@ -196,7 +195,7 @@
             return false;
         }
         m_in.append(buffer.data(), static_cast<std::size_t>(got));
-        m_lastProgress = monotonicMs();
+        m_lastRead = monotonicMs();
         turn += static_cast<std::size_t>(got);
         if (!parseFrames() || !*alive) {
             return false;
@@ -241,7 +240,7 @@
 {
     const TimeMs now = monotonicMs();
     const bool late
-        = m_connecting ? now - m_opened >= m_config.connectTimeoutMs : now - m_lastProgress >= m_config.silenceMs;
+        = m_connecting ? now - m_opened >= m_config.connectTimeoutMs : now - m_lastRead >= m_config.silenceMs;
     if (late) {
         fail();
         return;
--- /dev/null
+++ b/tests/adapter_hop.cpp
@@ -0,0 +1,192 @@
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "datapathfixture.h"
+#include "hop.h"
+
+using namespace datapathtest;
+
+namespace {
+
+constexpr std::uint16_t kPort = 18500;
+
+HopConfig fastConfig()
+{
+    HopConfig config;
+    config.beatMs = 20;
+    config.silenceMs = 150;
+    return config;
+}
+
+wire::HopRequest hopRequest(const std::string &text, bool bulk = false)
+{
+    wire::HopRequest request;
+    request.body = text;
+    request.bulk = bulk;
+    return request;
+}
+
+wire::HopResponse hopAnswer(const std::string &text)
+{
+    wire::HopResponse response;
+    response.verdict = wire::Verdict::Answered;
+    response.status = 200;
+    response.body = text;
+    return response;
+}
+
+/// Runs `loop` until `done`, at most 5 s.
+void runUntil(IoLoop &loop, const std::function<bool()> &done)
+{
+    std::thread watcher([&] {
+        eventually(done);
+        loop.stop();
+    });
+    loop.run();
+    watcher.join();
+}
+
+/// Sends one request to a peer that `serve` plays on the accepted connection.
+HopOutcome callRawPeer(const std::string &body, const std::function<void(int fd)> &serve)
+{
+    const RawListener listener(kPort);
+    std::thread peer([&] {
+        const int fd = listener.accept();
+        serve(fd);
+        ::close(fd);
+    });
+    IoLoop loop;
+    HopOutcome outcome;
+    {
+        HopClient client(loop, fastConfig());
+        std::atomic<bool> done{false};
+        client.send({"127.0.0.1", kPort}, hopRequest(body), [&](HopOutcome got) {
+            outcome = std::move(got);
+            done = true;
+        });
+        runUntil(loop, [&] { return done.load(); });
+    }
+    peer.join();
+    return outcome;
+}
+
+} // namespace
+
+// Guards against an answer given to another request when answers come in a different order, and against a late answer
+// after a cancellation.
+TEST_CASE("hop answers reach their own requests, crossed and late")
+{
+    IoLoop loop;
+    std::vector<std::pair<HopCallId, std::string>> held;
+    std::vector<HopCallId> cancelled;
+    std::unique_ptr<HopServer> server;
+    server = std::make_unique<HopServer>(
+        loop, fastConfig(),
+        HopServer::Handlers{[&](HopCallId call, wire::HopRequest &&request) {
+                                held.emplace_back(call, request.body);
+                                if (held.size() == 3) {
+                                    for (auto it = held.rbegin(); it != held.rend(); ++it) {
+                                        server->reply(it->first, hopAnswer("to " + it->second));
+                                    }
+                                }
+                            },
+                            [&](HopCallId call) { cancelled.push_back(call); }});
+    const HopListener listener(loop, {"127.0.0.1", kPort}, [&](int fd) { server->accept(fd); });
+    HopClient client(loop, fastConfig());
+    std::map<std::string, std::string> answers;
+    std::atomic<int> count{0};
+    std::vector<std::uint64_t> ids;
+    for (const std::string name : {"one", "two", "three"}) {
+        ids.push_back(client.send({"127.0.0.1", kPort}, hopRequest(name), [&, name](HopOutcome outcome) {
+            answers[name] = outcome.response.body;
+            ++count;
+        }));
+    }
+    // The cancellation follows its request on the wire, and the answer crosses it.
+    client.cancel(ids[1]);
+    runUntil(loop, [&] { return count == 2; });
+    CHECK(answers == std::map<std::string, std::string>{{"one", "to one"}, {"three", "to three"}});
+    server->closeAll();
+}
+
+// Guards against a part of an answer passed as whole, and against "not run" for a request that the peer has read.
+TEST_CASE("a hop answer cut short may have run")
+{
+    const HopOutcome outcome = callRawPeer("x", [](int fd) {
+        char buffer[256];
+        [[maybe_unused]] const ssize_t got = ::recv(fd, buffer, sizeof(buffer), 0);
+        const char half[] = {0, 0, 0, 40, 1, 2, 3};
+        ::send(fd, half, sizeof(half), MSG_NOSIGNAL);
+    });
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+    CHECK(outcome.reason == Reason::ConnectionLost);
+    CHECK_FALSE(outcome.fromPeer);
+}
+
+// Guards against a connection that waits for ever on a peer that no longer sends.
+TEST_CASE("a silent hop connection is closed and its request may have run")
+{
+    const TimeMs start = monotonicMs();
+    const HopOutcome outcome = callRawPeer("x", [](int fd) {
+        char buffer[256];
+        while (::recv(fd, buffer, sizeof(buffer), 0) > 0) {
+        }
+    });
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+    CHECK(monotonicMs() - start >= 150);
+}
+
+// Guards against "may have run" for a frame whose end never left this host.
+TEST_CASE("a request that was not written to its end did not run")
+{
+    const HopOutcome outcome = callRawPeer(std::string(32 * 1024 * 1024, 'x'), [](int fd) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        ::shutdown(fd, SHUT_RDWR);
+    });
+    CHECK(outcome.verdict == Verdict::NotRun);
+}
+
+// Guards against a frame length that makes the receiver hold any amount of memory.
+TEST_CASE("a hop frame above the size limit ends the connection")
+{
+    const HopOutcome outcome = callRawPeer("x", [](int fd) {
+        char buffer[256];
+        [[maybe_unused]] const ssize_t got = ::recv(fd, buffer, sizeof(buffer), 0);
+        const unsigned char huge[] = {0xFF, 0xFF, 0xFF, 0xFF, 1};
+        ::send(fd, huge, sizeof(huge), MSG_NOSIGNAL);
+        while (::recv(fd, buffer, sizeof(buffer), 0) > 0) {
+        }
+    });
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+}
+
+// Guards against a verdict "may have run" when nothing listens, and against bulk work on the interactive connection.
+TEST_CASE("a refused hop connection did not run, and bulk work has its own connection")
+{
+    IoLoop loop;
+    HopClient client(loop, fastConfig());
+    std::atomic<int> done{0};
+    HopOutcome refused;
+    client.send({"127.0.0.1", kPort + 1}, hopRequest("x"), [&](HopOutcome outcome) {
+        refused = std::move(outcome);
+        ++done;
+    });
+    int accepted = 0;
+    std::unique_ptr<HopServer> server;
+    server = std::make_unique<HopServer>(
+        loop, fastConfig(),
+        HopServer::Handlers{[&](HopCallId call, wire::HopRequest &&) { server->reply(call, hopAnswer("")); },
+                            [](HopCallId) {}});
+    const HopListener listener(loop, {"127.0.0.1", kPort}, [&](int fd) {
+        ++accepted;
+        server->accept(fd);
+    });
+    for (const bool bulk : {false, true, false, true}) {
+        client.send({"127.0.0.1", kPort}, hopRequest("x", bulk), [&](const HopOutcome &) { ++done; });
+    }
+    runUntil(loop, [&] { return done == 5; });
+    CHECK(refused.verdict == Verdict::NotRun);
+    CHECK(refused.reason == Reason::ConnectFailed);
+    CHECK(accepted == 2);
+    server->closeAll();
+}
--- /dev/null
+++ b/tests/adapter_requestpath.cpp
@@ -0,0 +1,243 @@
+#include <catch2/catch.hpp>
+
+#include "datapathfixture.h"
+
+using namespace datapathtest;
+
+namespace {
+
+constexpr std::uint16_t kCaller1 = 18510;
+constexpr std::uint16_t kHop1 = 18511;
+constexpr std::uint16_t kBackend1 = 18512;
+constexpr std::uint16_t kCaller2 = 18520;
+constexpr std::uint16_t kHop2 = 18521;
+
+/// A node with a backend server, and an entry node without one.
+struct TwoNodes {
+    TwoNodes()
+    {
+        const auto snapshot = bookings(5, {hostRecord(1, kHop1)});
+        owner.path().publish(snapshot);
+        entry.path().publish(snapshot);
+        owner.serve(backend);
+    }
+
+    TestBackend backend{kBackend1};
+    TestNode owner{1, kCaller1, kHop1};
+    TestNode entry{2, kCaller2, kHop2};
+};
+
+std::string verdictOf(const HttpResult &result)
+{
+    return std::string(fieldValue(result.fields, "Fulmarledge-Verdict"));
+}
+
+std::string reasonOf(const HttpResult &result)
+{
+    return std::string(fieldValue(result.fields, "Fulmarledge-Reason"));
+}
+
+} // namespace
+
+// Guards against fields, query parameters or bodies lost or changed on the way, against fields of one connection
+// passed to the next, and against missing fields of the system's own.
+TEST_CASE("a call passes through one node and through two")
+{
+    TwoNodes nodes;
+    for (const std::uint16_t port : {kCaller1, kCaller2}) {
+        HttpRequest call = request(port, "POST", "id-" + std::to_string(port),
+                                   {{"X-Two", "1"}, {"X-Two", "2"}, {"Connection", "X-Private"}, {"X-Private", "p"}});
+        call.body = "text";
+        const HttpResult result = fetch(call);
+        CHECK(result.status == 200);
+        CHECK(result.body == "answer to text");
+        CHECK(verdictOf(result) == "answered");
+        CHECK(fieldValue(result.fields, "Fulmarledge-Version") == "5");
+        CHECK(fieldValue(result.fields, "Fulmarledge-Request-Id") == "id-" + std::to_string(port));
+        const HttpCall seen = nodes.backend.lastCall();
+        CHECK(seen.path + seen.query == "/bookings/7?a=1&a=2&b");
+        CHECK(std::count_if(seen.fields.begin(), seen.fields.end(), [](const auto &f) { return f.first == "X-Two"; })
+              == 2);
+        CHECK(fieldValue(seen.fields, "X-Private").empty());
+        CHECK(fieldValue(seen.fields, "Fulmarledge-Depth") == "1");
+        const int left = std::stoi(std::string(fieldValue(seen.fields, "Fulmarledge-Deadline-Ms")));
+        CHECK((left > 0 && left <= 3000));
+    }
+}
+
+// Guards against a second execution when a kept-alive connection to the backend server breaks after the request was
+// sent: libcurl sends again on a new connection by itself.
+TEST_CASE("a POST is not run twice when its reused connection closes")
+{
+    TwoNodes nodes;
+    REQUIRE(fetch(request(kCaller1, "POST", "first")).status == 200);
+    nodes.backend.setBehaviour([](HttpCall &call) { call.responder->sendRawAndClose({}); });
+    const HttpResult local = fetch(request(kCaller1, "POST", "second"));
+    CHECK(local.status == 502);
+    CHECK(verdictOf(local) == "may-have-run");
+    CHECK(nodes.backend.executions("second") == 1);
+    const HttpResult hop = fetch(request(kCaller2, "POST", "third"));
+    CHECK(verdictOf(hop) == "may-have-run");
+    CHECK(nodes.backend.executions("third") == 1);
+}
+
+// Guards against a body that ended early being passed on as whole.
+TEST_CASE("a truncated answer is not passed on")
+{
+    TwoNodes nodes;
+    nodes.backend.setBehaviour(
+        [](HttpCall &call) { call.responder->sendRawAndClose("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"); });
+    for (const std::uint16_t port : {kCaller1, kCaller2}) {
+        const HttpResult result = fetch(request(port, "POST", "t" + std::to_string(port)));
+        CHECK(result.status == 502);
+        CHECK(verdictOf(result) == "may-have-run");
+        CHECK(reasonOf(result) == "truncated");
+        CHECK(result.body.find("half") == std::string::npos);
+    }
+}
+
+// Guards against a connection used again after its request timed out: the late answer would go to the next request.
+TEST_CASE("a late answer is not given to the next request")
+{
+    TwoNodes nodes;
+    std::vector<std::thread> late;
+    nodes.backend.setBehaviour([&late](HttpCall &call) {
+        late.emplace_back([responder = call.responder] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(150));
+            responder->send(200, {}, "late");
+        });
+    });
+    const HttpResult timedOut = fetch(request(kCaller2, "POST", "slow", {{"Fulmarledge-Deadline-Ms", "50"}}));
+    CHECK(timedOut.status == 504);
+    CHECK(verdictOf(timedOut) == "may-have-run");
+    nodes.backend.setBehaviour([](HttpCall &call) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        call.responder->send(200, {}, "own");
+    });
+    CHECK(fetch(request(kCaller2, "POST", "next")).body == "own");
+    for (std::thread &thread : late) {
+        thread.join();
+    }
+}
+
+// Guards against a bad value being guessed at or passed on, and against a refusal that does not name the field.
+TEST_CASE("bad requests are refused before dispatch with a reason")
+{
+    TwoNodes nodes;
+    const HttpResult bad = fetch(request(kCaller1, "GET", "b", {{"Fulmarledge-Deadline-Ms", "soon"}}));
+    CHECK(bad.status == 400);
+    CHECK(verdictOf(bad) == "not-run");
+    CHECK(bad.body.find("Fulmarledge-Deadline-Ms: must be a whole number") != std::string::npos);
+    HttpRequest large = request(kCaller1, "POST", "large");
+    large.body.assign(100001, 'x');
+    const HttpResult refused = fetch(large);
+    CHECK(refused.status == 413);
+    CHECK(reasonOf(refused) == "body-too-large");
+    CHECK(nodes.backend.executions("b") + nodes.backend.executions("large") == 0);
+}
+
+// Guards against answers without a body that hang or lose their length.
+TEST_CASE("HEAD and 204 answers arrive through a hop")
+{
+    TwoNodes nodes;
+    nodes.backend.setBehaviour([](HttpCall &call) {
+        call.responder->send(call.method == "HEAD" ? 200 : 204, {{"Content-Length", "12345"}}, {});
+    });
+    const HttpResult head = fetch(request(kCaller2, "HEAD", "h"));
+    CHECK(head.status == 200);
+    CHECK(fieldValue(head.fields, "Content-Length") == "12345");
+    const HttpResult empty = fetch(request(kCaller2, "DELETE", "d"));
+    CHECK(empty.status == 204);
+    CHECK(empty.body.empty());
+}
+
+// Guards against work that goes on, and a slot that stays taken, after its caller has closed the connection.
+TEST_CASE("a caller that goes away cancels its work")
+{
+    TwoNodes nodes;
+    std::atomic<int> started{0};
+    std::atomic<int> cancelled{0};
+    std::vector<std::shared_ptr<HttpResponder>> held;
+    nodes.backend.setBehaviour([&](HttpCall &call) {
+        held.push_back(call.responder);
+        call.responder->onClosed([&cancelled] { ++cancelled; });
+        ++started;
+    });
+    {
+        IoLoop loop;
+        HttpClient client(loop, 1);
+        client.send(request(kCaller2, "POST", "gone"), [](const HttpResult &) {});
+        std::thread watcher([&] {
+            eventually([&] { return started == 1; });
+            loop.stop();
+        });
+        loop.run();
+        watcher.join();
+    }
+    CHECK(eventually([&] { return cancelled == 1; }));
+    CHECK(eventually([&] { return nodes.owner.path().stats().atBackend == 0; }));
+    CHECK(nodes.entry.path().stats().outstanding == 0);
+}
+
+// Guards against a stop that cuts a request in progress, and against new work for a host that leaves.
+TEST_CASE("a drain lets work finish and refuses new work as not run")
+{
+    TwoNodes nodes;
+    std::atomic<bool> started{false};
+    nodes.backend.setBehaviour([&started](HttpCall &call) {
+        started = true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        call.responder->send(200, {}, "finished");
+    });
+    std::atomic<bool> idle{false};
+    HttpResult running;
+    std::thread caller([&] { running = fetch(request(kCaller2, "POST", "running")); });
+    REQUIRE(eventually([&] { return started.load(); }));
+    nodes.owner.path().drain([&idle] { idle = true; });
+    CHECK_FALSE(idle);
+    const HttpResult refused = fetch(request(kCaller2, "POST", "new"));
+    CHECK(refused.status == 503);
+    CHECK(verdictOf(refused) == "not-run");
+    CHECK_FALSE(fieldValue(refused.fields, "Retry-After").empty());
+    caller.join();
+    CHECK(running.body == "finished");
+    CHECK(eventually([&] { return idle.load(); }));
+    CHECK(nodes.backend.executions("new") == 0);
+}
+
+// Guards against a shed request that is not sent elsewhere, and against a bare 503 taken for a refusal.
+TEST_CASE("a shed request is retried elsewhere and a bare 503 is an answer")
+{
+    TwoNodes nodes;
+    TestBackend other(18513);
+    TestNode second(3, 18530, 18531);
+    second.serve(other);
+    const auto snapshot = bookings(6, {hostRecord(1, kHop1), hostRecord(3, 18531)});
+    nodes.entry.path().publish(snapshot);
+    nodes.backend.setBehaviour([](HttpCall &call) {
+        call.responder->send(503, {{"Fulmarledge-Verdict", "not-run"}}, "shed");
+    });
+    for (int i = 0; i < 8; ++i) {
+        const std::string id = "shed-" + std::to_string(i);
+        CHECK(fetch(request(kCaller2, "POST", id)).status == 200);
+        CHECK(other.executions(id) == 1);
+    }
+    nodes.backend.setBehaviour([](HttpCall &call) { call.responder->send(503, {}, "own answer"); });
+    const HttpResult bare = fetch(request(kCaller1, "POST", "bare"));
+    CHECK(bare.status == 503);
+    CHECK(verdictOf(bare) == "answered");
+    CHECK(bare.body == "own answer");
+}
+
+// Guards against a node that serves callers before it may, and against a version that goes back.
+TEST_CASE("a node that is not ready refuses callers and still serves other nodes")
+{
+    TwoNodes nodes;
+    nodes.owner.path().setReady(false, Reason::StaleNode);
+    const HttpResult refused = fetch(request(kCaller1, "GET", "r"));
+    CHECK(refused.status == 503);
+    CHECK(verdictOf(refused) == "not-run");
+    CHECK(reasonOf(refused) == "stale-node");
+    CHECK(fetch(request(kCaller2, "GET", "s")).status == 200);
+    CHECK_FALSE(nodes.entry.path().publish(bookings(4, {hostRecord(1, kHop1)})));
+}
