--- a/src/adapters/localbackend.cpp
+++ b/src/adapters/localbackend.cpp
@@ -46,6 +46,10 @@
         m_baseUrl = "http://" + address.ip + ":" + std::to_string(address.port);
     }
     const bool changed = state != m_state || serviceName != m_service || slots != m_slots;
+    if (serviceName != m_service) {
+        m_owners.clear();
+        m_keys.ownershipChanged(now);
+    }
     m_state = state;
     m_service = serviceName;
     m_slots = slots;
@@ -60,10 +64,25 @@
     settle(lock, now);
 }
 
-void LocalBackend::ownershipChanged(TimeMs now)
+void LocalBackend::setOwners(const Snapshot &snapshot, TimeMs now)
 {
     const Lock lock(m_mutex);
-    m_keys.ownershipChanged(now);
+    std::vector<std::string> owners;
+    const ServiceHandle service = snapshot.findService(m_service);
+    if (isValid(service)) {
+        for (const SnapshotBackend &backend : snapshot.backends(service)) {
+            if (backend.record && backend.record->state == wire::HostState::Serving
+                && backend.record->liveness != wire::Liveness::Dead) {
+                owners.push_back(backend.host);
+            }
+        }
+    }
+    // Only a change of this service's hosts moves keys. If each change of the table made unknown keys uncertain, a
+    // large fleet, where some host always changes, would never execute a marked repeat.
+    if (owners != m_owners) {
+        m_owners = std::move(owners);
+        m_keys.ownershipChanged(now);
+    }
 }
 
 void LocalBackend::drain(std::function<void()> idle, TimeMs now)
--- a/src/adapters/localbackend_p.h
+++ b/src/adapters/localbackend_p.h
@@ -7,9 +7,11 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "fulmarledge/idempotency.h"
 #include "fulmarledge/slotguard.h"
+#include "fulmarledge/snapshot.h"
 #include "fulmarledge/types.h"
 #include "fulmarledge_types.h"
 
@@ -36,7 +38,8 @@
 
     void set(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
              wire::HostState::type state, TimeMs now);
-    void ownershipChanged(TimeMs now);
+    /// Compares the hosts that may own keys of the local service with those of the last call.
+    void setOwners(const Snapshot &snapshot, TimeMs now);
     void drain(std::function<void()> idle, TimeMs now);
 
     Admission admit(const wire::HopRequest &request, TimeMs deadline, TimeMs now, Resume resume);
@@ -76,6 +79,7 @@
     std::string m_baseUrl;
     std::string m_service;
     std::uint32_t m_slots = 0;
+    std::vector<std::string> m_owners; ///< usable hosts of the local service
     wire::HostState::type m_state = wire::HostState::Starting;
     bool m_leaving = false;
     std::function<void()> m_onIdle;
--- a/src/adapters/requestpath.cpp
+++ b/src/adapters/requestpath.cpp
@@ -133,7 +133,13 @@
 
 bool RequestPath::publish(std::shared_ptr<const Snapshot> snapshot)
 {
-    return m_shared->state.views.publish(std::move(snapshot), monotonicMs());
+    const TimeMs now = monotonicMs();
+    const std::shared_ptr<const Snapshot> published = snapshot;
+    if (!m_shared->state.views.publish(std::move(snapshot), now)) {
+        return false;
+    }
+    m_shared->state.backend.setOwners(*published, now);
+    return true;
 }
 
 void RequestPath::setReady(bool ready, Reason reason)
@@ -148,11 +154,6 @@
     m_shared->state.metrics.gauge("backend-reported-load", {}, reportedLoad);
 }
 
-void RequestPath::ownershipChanged()
-{
-    m_shared->state.backend.ownershipChanged(monotonicMs());
-}
-
 void RequestPath::drain(std::function<void()> idle)
 {
     m_shared->state.backend.drain(std::move(idle), monotonicMs());
--- a/src/adapters/requestpath.h
+++ b/src/adapters/requestpath.h
@@ -65,9 +65,6 @@
     void setLocalBackend(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
                          wire::HostState::type state, std::int32_t reportedLoad);
 
-    /// The set of hosts that may own idempotency keys of the local service has changed.
-    void ownershipChanged();
-
     /// Refuses new work at the slot guard for good. `idle` runs once, on any thread, when none is in progress there.
     void drain(std::function<void()> idle);
 
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -102,7 +102,6 @@
         if (!m_requests.publish(m_snapshot)) {
             m_log->event("snapshot-refused", "version=" + std::to_string(m_snapshot->version()));
         }
-        m_requests.ownershipChanged();
     }
 
     void onReadiness(bool ready, Reason reason) override
