Give each family of test fakes its own namespace

An enumeration without a fixed type made a malformed message undefined behaviour under the sanitizer. Change: one namespace per family, and a fixed underlying type in gen/.

--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -22,7 +22,7 @@
 namespace fulmarledge { namespace wire {
 
 struct HostState {
-  enum type {
+  enum type : int32_t {
     Starting = 1,
     Serving = 2,
     Draining = 3,
@@ -37,7 +37,7 @@
 std::string to_string(const HostState::type& val);
 
 struct Liveness {
-  enum type {
+  enum type : int32_t {
     Alive = 1,
     Suspect = 2,
     Dead = 3
@@ -51,7 +51,7 @@
 std::string to_string(const Liveness::type& val);
 
 struct Verdict {
-  enum type {
+  enum type : int32_t {
     NotRun = 1,
     MayHaveRun = 2,
     Answered = 3
--- a/tests/core_balancer.cpp
+++ b/tests/core_balancer.cpp
@@ -7,7 +7,7 @@
 #include "request_fakes.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::requesttest;
 
 namespace {
 
--- a/tests/core_membership.cpp
+++ b/tests/core_membership.cpp
@@ -5,7 +5,7 @@
 #include "updatequeue_p.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::membershiptest;
 
 namespace {
 
--- a/tests/core_membershipfaults.cpp
+++ b/tests/core_membershipfaults.cpp
@@ -3,7 +3,7 @@
 #include "membershipfakes.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::membershiptest;
 
 namespace {
 
--- a/tests/core_request_model.cpp
+++ b/tests/core_request_model.cpp
@@ -1,6 +1,6 @@
 #include "request_model.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::requesttest {
 
 namespace {
 
@@ -388,4 +388,4 @@
     }
 }
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::requesttest
--- a/tests/core_requests.cpp
+++ b/tests/core_requests.cpp
@@ -3,7 +3,7 @@
 #include "request_model.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::requesttest;
 
 namespace {
 
--- a/tests/core_requests_allocations.cpp
+++ b/tests/core_requests_allocations.cpp
@@ -73,7 +73,7 @@
 }
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::requesttest;
 
 // Guards against the cost of the memory allocator on each request: routing works on the states of the view, the slots
 // of the guard and the session itself, which all exist before the request. The bound is therefore 0.
--- a/tests/core_spread.cpp
+++ b/tests/core_spread.cpp
@@ -4,7 +4,7 @@
 #include "spreadchecks.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::spreadtest;
 
 // Guards against a change that does not reach every node within a second without faults.
 TEST_CASE("each way of spreading brings a change to every node")
--- a/tests/core_spread_bounds.cpp
+++ b/tests/core_spread_bounds.cpp
@@ -5,7 +5,7 @@
 #include "spreadchecks.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::spreadtest;
 
 // The bounds are those of section 1 of the design page.
 
--- a/tests/core_spread_rules.cpp
+++ b/tests/core_spread_rules.cpp
@@ -3,7 +3,7 @@
 #include "spreadchecks.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::spreadtest;
 
 // Each test breaks one rule with a double at a port and requires that the check of the other tests catches it.
 
--- a/tests/core_submission.cpp
+++ b/tests/core_submission.cpp
@@ -4,7 +4,7 @@
 #include "submissionfakes.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::submissiontest;
 
 namespace {
 
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -12,7 +12,7 @@
 #include "fulmarledge/manifest.h"
 #include "fulmarledge/ports.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::spreadtest {
 
 class SeededRandom : public RandomSource
 {
@@ -279,4 +279,4 @@
         .canonicalText();
 }
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::spreadtest
--- a/tests/membershipfakes.h
+++ b/tests/membershipfakes.h
@@ -13,7 +13,7 @@
 
 #include "fulmarledge/membership.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::membershiptest {
 
 /// SplitMix64.
 class SeededRandom : public RandomSource
@@ -517,4 +517,4 @@
     return settings;
 }
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::membershiptest
--- a/tests/request_fakes.h
+++ b/tests/request_fakes.h
@@ -9,7 +9,7 @@
 #include "fulmarledge/ports.h"
 #include "fulmarledge/snapshot.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::requesttest {
 
 /// Deterministic generator (SplitMix64).
 class SeededRandom : public RandomSource
@@ -77,4 +77,4 @@
 
 constexpr ServiceHandle kBookings{0};
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::requesttest
--- a/tests/request_model.h
+++ b/tests/request_model.h
@@ -13,7 +13,7 @@
 #include "fulmarledge/slotguard.h"
 #include "request_fakes.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::requesttest {
 
 /// Rule that a test breaks on purpose, to show that a check notices.
 enum class BrokenRule { None, FalseNotRun, NoPairing, KeysForgotten, RunsWhileDraining, UnlimitedRetries };
@@ -158,4 +158,4 @@
     std::vector<std::string> m_violations;
 };
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::requesttest
--- a/tests/spreadchecks.h
+++ b/tests/spreadchecks.h
@@ -5,7 +5,7 @@
 
 #include "spreadfleet.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::spreadtest {
 
 /// Bound of section 1 of the design page on convergence with faults.
 constexpr TimeMs kConvergenceMs = 6000;
@@ -66,4 +66,4 @@
     return most;
 }
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::spreadtest
--- a/tests/spreadfleet.h
+++ b/tests/spreadfleet.h
@@ -13,7 +13,7 @@
 #include "fakes.h"
 #include "fulmarledge/spread.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::spreadtest {
 
 /// Checks the rules of the spread from outside: what each host runs, over all its processes.
 class SpreadRules
@@ -490,4 +490,4 @@
     std::vector<std::unique_ptr<Node>> m_nodes;
 };
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::spreadtest
--- a/tests/submissionfakes.h
+++ b/tests/submissionfakes.h
@@ -13,7 +13,7 @@
 #include "fulmarledge/manifest.h"
 #include "fulmarledge/submission.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::submissiontest {
 
 class SeededRandom : public RandomSource
 {
@@ -369,4 +369,4 @@
     return {};
 }
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::submissiontest
