Ask the zone before pushing a version learned from another zone

A node that missed the push of its own zone and learned the version from another zone pushed a second copy to the whole zone.

--- a/src/core/headreader.cpp
+++ b/src/core/headreader.cpp
@@ -73,6 +73,9 @@
     m_fetch.active = false;
     m_fetch.failures = 0;
     m_fetch.notBefore = std::max(at, m_throttledUntil);
+    if (m_now >= m_fetch.notBefore) {
+        startFetch();
+    }
 }
 
 void HeadReader::cancelWant()
--- a/src/core/spread_p.h
+++ b/src/core/spread_p.h
@@ -82,6 +82,8 @@
     void planPush(Source source);
     void tickPush();
     void pushOut();
+    void probeZone();
+    void onProbeAnswer(Version version);
     void relay(HashInterval interval);
     void relayDuties();
     void gossip();
@@ -151,6 +153,8 @@
     TimeMs m_heldSince = 0;
     bool m_confirmed = true; ///< another member holds it too
     std::optional<TimeMs> m_pushAt;
+    std::int64_t m_probeNonce = 0; ///< of the question whether the zone holds a version learned from another zone
+    int m_probeHolders = 0;
     TimeMs m_replicateAt = 0;
     std::vector<HashInterval> m_relayed;
     std::vector<Duty> m_duties;
--- a/src/core/spreaddigest.cpp
+++ b/src/core/spreaddigest.cpp
@@ -73,6 +73,8 @@
         }
         if (digest.nonce == m_peerFloor.nonce()) {
             m_peerFloor.onAnswer(from.host, digest.version);
+        } else if (m_probeNonce != 0 && digest.nonce == m_probeNonce) {
+            onProbeAnswer(digest.version);
         }
     }
     noteVersion(from, digest.version);
--- a/src/core/spreadpush.cpp
+++ b/src/core/spreadpush.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::size_t kMaxDuties = 16;
+constexpr int kProbes = 3;
+/// Holders among the probed members that show that the zone has had its push.
+constexpr std::size_t kProbeHolders = 2;
 
 } // namespace
 
@@ -59,6 +62,7 @@
         : m_settings.watchersPerZone * m_settings.rankDelayMs + static_cast<TimeMs>(random(m_settings.rankDelayMs));
     const bool relays = m_settings.way == SpreadWay::Gossip && source != Source::Platform;
     m_replicateAt = m_now;
+    m_probeNonce = 0;
     if (relays) {
         m_pushAt = m_now;
     } else if (m_settings.way == SpreadWay::Direct) {
@@ -69,6 +73,9 @@
         m_pushAt = std::max(m_now, m_headSeenAt + delay);
     } else if (source == Source::OtherZone) {
         m_pushAt = m_now + delay;
+        if (delay > 0) {
+            probeZone();
+        }
     }
     if (m_pushAt) {
         m_replicateAt = *m_pushAt + m_settings.replicateMs;
@@ -93,6 +100,30 @@
     }
 }
 
+void Spread::Private::probeZone()
+{
+    // A node that missed the push of its own zone may learn the version from another zone first. Without the question
+    // it would push a second copy to the whole zone.
+    m_probeNonce = static_cast<std::int64_t>(m_random.below(std::uint64_t{1} << 62U)) + 1;
+    m_probeHolders = 0;
+    for (int i = 0; i < kProbes; ++i) {
+        if (const Member *member = randomMember(true, false)) {
+            sendDigest(*member, m_probeNonce, false);
+        }
+    }
+}
+
+void Spread::Private::onProbeAnswer(Version version)
+{
+    if (!m_pushAt || version < m_held.newestVersion()) {
+        return;
+    }
+    const std::size_t others = zoneMembers().size() - 1;
+    if (static_cast<std::size_t>(++m_probeHolders) >= std::min(kProbeHolders, others)) {
+        m_pushAt.reset();
+    }
+}
+
 void Spread::Private::pushOut()
 {
     if (m_settings.way == SpreadWay::Gossip) {
--- /dev/null
+++ b/tests/core_spread_sweep.cpp
@@ -0,0 +1,99 @@
+#include <catch2/catch.hpp>
+#include <cstdio>
+
+#include "spreadchecks.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::test;
+
+namespace {
+
+struct Totals {
+    double messages = 0;
+    double bytes = 0;
+    double calls = 0;
+    double platformBytes = 0;
+
+    static Totals of(const SpreadFleet &fleet)
+    {
+        return {static_cast<double>(fleet.messages), static_cast<double>(fleet.bytes),
+                static_cast<double>(fleet.platform.reads + fleet.platform.watches),
+                static_cast<double>(fleet.platform.valueBytes)};
+    }
+    Totals operator-(const Totals &other) const
+    {
+        return {messages - other.messages, bytes - other.bytes, calls - other.calls,
+                platformBytes - other.platformBytes};
+    }
+    Totals operator*(double factor) const
+    {
+        return {messages * factor, bytes * factor, calls * factor, platformBytes * factor};
+    }
+};
+
+constexpr int kChanges = 10;
+constexpr TimeMs kRestMs = 20000;
+constexpr TimeMs kChangeMs = 3000;
+
+void measure(const char *name, SpreadWay way, int nodes, int lossPerMille)
+{
+    FleetSettings settings;
+    settings.nodes = nodes;
+    settings.zones = 4;
+    settings.services = 39;
+    settings.hosts = 25;
+    settings.measureBytes = true;
+    settings.spread.way = way;
+    SpreadFleet fleet(settings);
+    fleet.accept();
+    fleet.startAll();
+    requireAgreement(fleet, 60000);
+    fleet.run(5000);
+    fleet.network.lossPerMille = lossPerMille;
+    const Totals begin = Totals::of(fleet);
+    fleet.run(kRestMs);
+    const Totals rest = (Totals::of(fleet) - begin) * (1.0 / kRestMs);
+    TimeMs worst = 0;
+    double mean = 0;
+    double copies = 0;
+    int most = 0;
+    Totals sum;
+    for (int change = 0; change < kChanges; ++change) {
+        fleet.resetCopies();
+        const Totals before = Totals::of(fleet);
+        const TimeMs from = fleet.queue.now();
+        fleet.accept();
+        const auto taken = fleet.runUntilAgreed(60000);
+        REQUIRE(taken);
+        fleet.run(from + kChangeMs - fleet.queue.now());
+        const Totals spent = Totals::of(fleet) - before - rest * static_cast<double>(fleet.queue.now() - from);
+        sum = {sum.messages + spent.messages, sum.bytes + spent.bytes, sum.calls + spent.calls,
+               sum.platformBytes + spent.platformBytes};
+        worst = std::max(worst, *taken);
+        mean += static_cast<double>(*taken) / kChanges;
+        copies += countCopies(fleet).mean / kChanges;
+        most = std::max(most, countCopies(fleet).most);
+    }
+    const double each = 1.0 / (kChanges * nodes);
+    std::printf("| %s | %d | %.1f%% | %.0f | %lld | %.2f | %d | %.2f | %.0f | %.0f | %.1f | %.0f |\n", name, nodes,
+                lossPerMille / 10.0, mean, static_cast<long long>(worst), copies, most, sum.messages * each,
+                sum.bytes * each, sum.platformBytes * each, sum.calls / kChanges, rest.bytes * 1000 / nodes);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+// Not a check: prints the table of docs/measurements/spread.md.
+TEST_CASE("size sweep of the ways of spreading", "[.sweep]")
+{
+    std::printf(
+        "| way | nodes | loss | time, mean ms | time, worst ms | copies, mean | copies, most | messages | bytes "
+        "| platform bytes | platform calls | B/s at rest |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    for (const int loss : {0, 10}) {
+        for (const int nodes : {50, 200, 1000}) {
+            measure("direct", SpreadWay::Direct, nodes, loss);
+            measure("gossip", SpreadWay::Gossip, nodes, loss);
+            measure("tree", SpreadWay::Tree, nodes, loss);
+        }
+    }
+}
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -134,6 +134,7 @@
     std::int64_t reads = 0;
     std::int64_t writes = 0;
     std::int64_t watches = 0;
+    std::int64_t valueBytes = 0; ///< of the objects returned
     std::map<TimeMs, std::int64_t> callsPerSecond;
     std::function<std::string(std::string)> alterHead; ///< test double: changes the `head` that readers get
 
@@ -236,6 +237,9 @@
         if (faults.status != StoreStatus::Ok) {
             reply = {faults.status, {}, faults.retryAfterMs, "injected"};
         }
+        for (const StoreObject &object : reply.objects) {
+            valueBytes += static_cast<std::int64_t>(object.value.size());
+        }
         if (faults.silent || m_random.chance(faults.lossPerMille)) {
             return;
         }
