--- a/tests/core_spread_sweep.cpp
+++ b/tests/core_spread_sweep.cpp
@@ -35,11 +35,11 @@
 constexpr TimeMs kRestMs = 20000;
 constexpr TimeMs kChangeMs = 3000;
 
-void measure(const char *name, SpreadWay way, int nodes, int lossPerMille)
+void measure(const char *name, SpreadWay way, int nodes, int lossPerMille, int zones = 4)
 {
     FleetSettings settings;
     settings.nodes = nodes;
-    settings.zones = 4;
+    settings.zones = zones;
     settings.services = 39;
     settings.hosts = 25;
     settings.measureBytes = true;
@@ -81,14 +81,19 @@
     std::fflush(stdout);
 }
 
+void printHeading()
+{
+    std::printf(
+        "| way | nodes | loss | time, mean ms | time, worst ms | copies, mean | copies, most | messages | bytes "
+        "| platform bytes | platform calls | B/s at rest |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+}
+
 } // namespace
 
 // Not a check: prints the table of docs/measurements/spread.md.
 TEST_CASE("size sweep of the ways of spreading", "[.sweep]")
 {
-    std::printf(
-        "| way | nodes | loss | time, mean ms | time, worst ms | copies, mean | copies, most | messages | bytes "
-        "| platform bytes | platform calls | B/s at rest |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    printHeading();
     for (const int loss : {0, 10}) {
         for (const int nodes : {50, 200, 1000}) {
             measure("direct", SpreadWay::Direct, nodes, loss);
@@ -97,3 +102,11 @@
         }
     }
 }
+
+// Not a check: the tree at the target scale of the design page, with the loss of its model.
+TEST_CASE("tree at 9,700 nodes", "[.scale]")
+{
+    printHeading();
+    measure("tree", SpreadWay::Tree, 9700, 0, 7);
+    measure("tree", SpreadWay::Tree, 9700, 10, 7);
+}
