Check received enums by their stored number

The address sanitizer build with UBSan stopped at a record whose state was out of range: Thrift stores any number in the enum, and reading it is undefined. The value is now read as an integer before the record is copied.

--- a/src/core/hosttable.cpp
+++ b/src/core/hosttable.cpp
@@ -1,6 +1,7 @@
 #include "hosttable_p.h"
 
 #include <algorithm>
+#include <cstring>
 #include <xxhash.h>
 
 namespace fulmarledge {
@@ -34,6 +35,16 @@
     return XXH3_64bits(parts.data(), sizeof(parts));
 }
 
+// Thrift stores any received number in an enum, and reading such a value as the enum is undefined.
+template <typename Enum>
+std::int32_t rawValue(const Enum &value)
+{
+    static_assert(sizeof(Enum) == sizeof(std::int32_t));
+    std::int32_t raw = 0;
+    std::memcpy(&raw, &value, sizeof(raw));
+    return raw;
+}
+
 bool lessByHash(const Member &member, std::uint64_t hash)
 {
     return member.hash < hash;
@@ -91,14 +102,15 @@
 
 bool isValidRecord(const wire::HostRecord &record)
 {
+    const std::int32_t state = rawValue(record.state);
+    const std::int32_t liveness = rawValue(record.liveness);
     const auto isPort = [](std::int32_t port) { return port >= 0 && port <= kMaxPort; };
     return !record.host.empty() && record.host.size() <= kMaxNameLength && !record.zone.empty()
         && record.zone.size() <= kMaxNameLength && record.serviceName.size() <= kMaxNameLength
         && record.address.size() <= kMaxNameLength && isPort(record.controlPort) && isPort(record.hopPort)
         && isPort(record.callerPort) && isPort(record.adminPort) && record.incarnation > 0
-        && record.incarnation < kMaxIncarnation && record.state >= wire::HostState::Starting
-        && record.state <= wire::HostState::Left && record.liveness >= wire::Liveness::Alive
-        && record.liveness <= wire::Liveness::Dead && record.slots >= 0;
+        && record.incarnation < kMaxIncarnation && state >= wire::HostState::Starting && state <= wire::HostState::Left
+        && liveness >= wire::Liveness::Alive && liveness <= wire::Liveness::Dead && record.slots >= 0;
 }
 
 HostTable::HostTable(const wire::HostRecord &self)
--- a/src/core/membership_p.h
+++ b/src/core/membership_p.h
@@ -129,7 +129,7 @@
     }
 
     // merge.cpp: records
-    void merge(wire::HostRecord record, RecordSource source);
+    void merge(const wire::HostRecord &received, RecordSource source);
     void apply(const wire::HostRecord &record, bool gossips = true);
     void onOwnRecord(const wire::HostRecord &record);
     void setLiveness(std::uint32_t slot, wire::Liveness::type liveness);
--- a/src/core/merge.cpp
+++ b/src/core/merge.cpp
@@ -19,12 +19,13 @@
 
 } // namespace
 
-void Membership::Private::merge(wire::HostRecord record, RecordSource source)
+void Membership::Private::merge(const wire::HostRecord &received, RecordSource source)
 {
-    if (!isValidRecord(record)) {
+    if (!isValidRecord(received)) {
         metrics.count("membership_records_refused", "invalid", 1);
         return;
     }
+    wire::HostRecord record = received;
     if (record.host == self().host) {
         onOwnRecord(record);
         return;
