--- a/src/core/membership_p.h
+++ b/src/core/membership_p.h
@@ -35,7 +35,11 @@
 };
 
 /// Where a record came from. Only gossip from a live member is believed at once when it declares a host dead.
-enum class RecordSource : std::uint8_t { Gossip, Table };
+enum class RecordSource : std::uint8_t {
+    Gossip,
+    Stranger, ///< gossip from a sender that is unknown or held dead
+    Table, ///< answer to a join, or bucket exchange
+};
 
 struct DeadlineItem {
     TimeMs at = 0;
@@ -125,8 +129,8 @@
     }
 
     // merge.cpp: records
-    void merge(wire::HostRecord record, RecordSource source);
-    void apply(const wire::HostRecord &record);
+    void merge(const wire::HostRecord &received, RecordSource source);
+    void apply(const wire::HostRecord &record, bool gossips = true);
     void onOwnRecord(const wire::HostRecord &record);
     void setLiveness(std::uint32_t slot, wire::Liveness::type liveness);
     void announce(std::uint32_t slot);
@@ -153,6 +157,7 @@
     void onDigest(const wire::Envelope &message);
     void onTableRequest(const wire::Envelope &message);
     void onTableReply(const wire::Envelope &message);
+    void settleDifference();
     void sendTableRequest(const SocketAddress &to);
     void syncTick();
 
@@ -199,8 +204,6 @@
     std::uint64_t revision = 0;
     std::uint64_t heard = 0; ///< messages received
 
-    bool burstWanted = false;
-    bool urgentWanted = false;
     RateLimit bursts;
     std::priority_queue<DeadlineItem, std::vector<DeadlineItem>, std::greater<>> suspicions;
     std::priority_queue<DeadlineItem, std::vector<DeadlineItem>, std::greater<>> prunes;
@@ -218,8 +221,10 @@
 
     bool syncing = false;
     TimeMs nextSyncAt = 0;
-    TimeMs differsSince = 0; ///< 0 when the last digest was equal
-    TimeMs lastExchangeAt = 0;
+    TimeMs differenceAt = 0; ///< when a digest differed that is not yet settled; 0 for none
+    std::uint64_t differenceHash = 0; ///< own table hash at that time
+    SocketAddress differencePeer;
+    int unsettled = 0; ///< consecutive waits in which the own table changed
     RateLimit tableReplies;
 
     ContactState contacts;
