--- a/tests/core_membership.cpp
+++ b/tests/core_membership.cpp
@@ -1,11 +1,11 @@
 #include <catch2/catch.hpp>
 
 #include "hosttable_p.h"
-#include "membershipfakes.h"
+#include "membershipfleet.h"
 #include "updatequeue_p.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::membershiptest;
 
 namespace {
 
