--- /dev/null
+++ b/tests/adapter_requestcost.cpp
@@ -0,0 +1,81 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <new>
+
+#include "datapathfixture.h"
+
+namespace {
+
+std::atomic<std::uint64_t> allocations{0};
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    allocations.fetch_add(1, std::memory_order_relaxed);
+    if (void *memory = std::malloc(size)) {
+        return memory;
+    }
+    throw std::bad_alloc();
+}
+
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    std::free(memory);
+}
+
+using namespace datapathtest;
+
+namespace {
+
+constexpr std::uint16_t kCaller = 18540;
+constexpr std::uint16_t kHop = 18541;
+constexpr std::uint16_t kBackend = 18542;
+constexpr int kCalls = 200;
+
+/// Allocations of one call on a warm connection, with those of the client and the backend server in this process.
+double allocationsPerCall(TestNode &node, const std::shared_ptr<const Snapshot> &snapshot)
+{
+    REQUIRE(node.path().publish(snapshot));
+    IoLoop loop;
+    HttpClient client(loop, 1);
+    int left = kCalls + kCalls;
+    std::uint64_t before = 0;
+    std::function<void()> next = [&] {
+        if (left == kCalls) {
+            before = allocations;
+        }
+        if (left-- == 0) {
+            loop.stop();
+            return;
+        }
+        client.send(request(kCaller, "GET", "cost"), [&](const HttpResult &result) {
+            REQUIRE(result.status == 200);
+            next();
+        });
+    };
+    next();
+    loop.run();
+    return static_cast<double>(allocations - before) / kCalls;
+}
+
+} // namespace
+
+// Guards against work per request that grows with the fleet: a request looks at its own service only. Announcements
+// and heartbeats may add a little to either count, hence 2 allocations of slack.
+TEST_CASE("the cost of a request does not grow with the number of services")
+{
+    TestBackend backend(kBackend);
+    TestNode node(1, kCaller, kHop);
+    node.serve(backend);
+    const double small = allocationsPerCall(node, bookings(1, {hostRecord(1, kHop)}));
+    const double large = allocationsPerCall(node, bookings(2, {hostRecord(1, kHop)}, 390));
+    CAPTURE(small, large);
+    CHECK(large <= small + 2);
+}
