--- a/include/fulmarledge/controlnode.h
+++ b/include/fulmarledge/controlnode.h
@@ -70,11 +70,6 @@
     {
         return m_events;
     }
-    /// Wall-clock time of each activation, newest last.
-    const std::deque<std::pair<Version, std::int64_t>> &activations() const
-    {
-        return m_activations;
-    }
     bool isReady() const
     {
         return m_ready;
@@ -106,7 +101,6 @@
     bool m_ready = false;
     bool m_readinessKnown = false;
     std::deque<ControlEvent> m_events;
-    std::deque<std::pair<Version, std::int64_t>> m_activations;
 };
 
 } // namespace fulmarledge
--- a/src/core/controlnode.cpp
+++ b/src/core/controlnode.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t kKeptEvents = 64;
-constexpr std::size_t kKeptActivations = 256;
 
 /// Room for records in a datagram beside a small message. Pushes and contents carry none, because they may fill the
 /// datagram by themselves.
@@ -19,15 +18,6 @@
     return !set.push && !set.content && !set.tableReply && !set.joinReply && !set.tableRequest;
 }
 
-template <typename Entry>
-void keepNewest(std::deque<Entry> &entries, Entry entry, std::size_t limit)
-{
-    entries.push_back(std::move(entry));
-    if (entries.size() > limit) {
-        entries.pop_front();
-    }
-}
-
 wire::Header headerOf(const wire::HostRecord &self)
 {
     wire::Header header;
@@ -135,10 +125,7 @@
     m_builtRevision = m_membership.revision();
     m_builtMs = now;
     m_listener.onSnapshot(Snapshot::build(m_version, *m_manifest, m_membership.records()));
-    if (m_manifestChanged) {
-        m_manifestChanged = false;
-        keepNewest(m_activations, {m_version, m_wallClockMs}, kKeptActivations);
-    }
+    m_manifestChanged = false;
 }
 
 void ControlNode::updateReadiness()
@@ -157,7 +144,10 @@
 
 void ControlNode::event(std::string_view name, std::string_view detail)
 {
-    keepNewest(m_events, {m_wallClockMs, std::string(name) + " " + std::string(detail)}, kKeptEvents);
+    m_events.push_back({m_wallClockMs, std::string(name) + " " + std::string(detail)});
+    if (m_events.size() > kKeptEvents) {
+        m_events.pop_front();
+    }
     m_log.event(name, detail);
 }
 
--- a/src/programs/node_admin.cpp
+++ b/src/programs/node_admin.cpp
@@ -62,8 +62,8 @@
     }
     document["events"] = std::move(events);
     json activations = json::array();
-    for (const auto &[version, wallClockMs] : report.control.activations()) {
-        activations.push_back({{"version", version}, {"time_ms", wallClockMs}});
+    for (const ActivationTime &activation : report.activations) {
+        activations.push_back({{"version", activation.version}, {"time_ms", activation.wallClockMs}});
     }
     document["activations"] = std::move(activations);
     return document.dump();
--- a/src/programs/node_admin.h
+++ b/src/programs/node_admin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -9,11 +10,18 @@
 
 namespace fulmarledge {
 
+/// When a version came into force on this node.
+struct ActivationTime {
+    Version version = 0;
+    std::int64_t wallClockMs = 0; ///< milliseconds since 1970
+};
+
 /// What the admin port reports of this node, taken on the control thread.
 struct NodeReport {
     const ControlNode &control;
     const Snapshot *snapshot;
     const std::optional<Announcement> &backend;
+    const std::deque<ActivationTime> &activations; ///< newest last
     std::string host;
     std::string zone;
     TimeMs now = 0;
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::int64_t kTickMs = 50;
 constexpr std::int64_t kDrainPollMs = 20;
+constexpr std::size_t kKeptActivations = 256;
 constexpr std::size_t kMaxAdminBodyBytes = 64 * 1024;
 constexpr long kPlatformConnections = 4;
 
@@ -103,6 +104,12 @@
             m_log->event("snapshot-refused", "version=" + std::to_string(m_snapshot->version()));
         }
         m_requests.ownershipChanged();
+        if (m_activations.empty() || m_activations.back().version != m_snapshot->version()) {
+            m_activations.push_back({m_snapshot->version(), wallClockMs()});
+            if (m_activations.size() > kKeptActivations) {
+                m_activations.pop_front();
+            }
+        }
     }
 
     void onReadiness(bool ready, Reason reason) override
@@ -170,8 +177,9 @@
             return;
         }
         const TimeMs now = monotonicMs();
-        const NodeReport report{m_control,   m_snapshot.get(),      m_backend, m_settings.host, m_settings.zone, now,
-                                m_startedMs, now - m_platformSeenMs};
+        const NodeReport report{m_control,     m_snapshot.get(), m_backend,
+                                m_activations, m_settings.host,  m_settings.zone,
+                                now,           m_startedMs,      now - m_platformSeenMs};
         const HttpFields json{{"Content-Type", "application/json"}};
         static constexpr std::string_view kExplain = "/v1/explain/";
         if (call.path == "/v1/status") {
@@ -249,6 +257,7 @@
     std::unique_ptr<HttpServer> m_admin;
     Socket m_signals;
     std::shared_ptr<const Snapshot> m_snapshot;
+    std::deque<ActivationTime> m_activations;
     std::optional<Announcement> m_backend;
     const std::int64_t m_startedMs = wallClockMs();
     TimeMs m_announcedMs = 0;
--- a/tests/adapter_ctlcommands.cpp
+++ b/tests/adapter_ctlcommands.cpp
@@ -9,7 +9,7 @@
 #include "platformstandin_http.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::nodetest;
 
 namespace {
 
--- a/tests/adapter_ctlnodes.cpp
+++ b/tests/adapter_ctlnodes.cpp
@@ -4,7 +4,7 @@
 #include "fakenode.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::nodetest;
 
 namespace {
 
--- a/tests/fakenode.h
+++ b/tests/fakenode.h
@@ -6,7 +6,7 @@
 #include "ctl_nodes.h"
 #include "httpserver.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::nodetest {
 
 using nlohmann::json;
 
@@ -65,4 +65,4 @@
     return {{"version", version}, {"ready", true}, {"platform", {{"reachable", true}, {"age_ms", 10}}}};
 }
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::nodetest
