--- a/tests/core_slotguard.cpp
+++ b/tests/core_slotguard.cpp
@@ -139,6 +139,12 @@
     CHECK(f.guard.isIdle());
     f.guard.serve("bookings", 1, 2);
     CHECK(f.submit("c").state == GuardState::Run);
+    // A backend server of another service takes the host over: what waits for the old one must not reach it.
+    const GuardDecision old = f.submit("d");
+    f.guard.serve("drawings", 2, 3);
+    const GuardDecision wrong = f.next();
+    CHECK(wrong.id == old.id);
+    CHECK(wrong.reason == Reason::WrongHost);
 }
 
 // Guards against lost or doubled slots in any order of events.
