--- a/src/programs/bench_fleet.cpp
+++ b/src/programs/bench_fleet.cpp
@@ -98,10 +98,11 @@
 
     json run()
     {
-        const Announcer announcer(m_hosts, m_options.churnMs);
+        Announcer announcer(m_hosts);
         submit(0);
         waitForVersion(kSettleMs);
         const auto idle = measureIdle();
+        announcer.setChurn(m_options.churnMs);
         const auto before = scrapeCounters(m_client, m_hosts);
         const json statsBefore = platformStats();
         const auto useBefore = processUse();
--- a/src/programs/bench_fleetclient.cpp
+++ b/src/programs/bench_fleetclient.cpp
@@ -95,9 +95,8 @@
     return sums;
 }
 
-Announcer::Announcer(std::vector<FleetHost> hosts, std::int64_t churnMs)
+Announcer::Announcer(std::vector<FleetHost> hosts)
     : m_hosts(std::move(hosts))
-    , m_churnMs(churnMs)
     , m_thread([this] { run(); })
 {
 }
@@ -111,13 +110,14 @@
 void Announcer::run()
 {
     FleetClient client;
-    TimeMs nextDrain = monotonicMs() + m_churnMs;
+    TimeMs nextDrain = 0;
     std::size_t drained = m_hosts.size();
     while (!m_stopping) {
         const TimeMs begin = monotonicMs();
-        if (m_churnMs > 0 && begin >= nextDrain) {
+        const std::int64_t churnMs = m_churnMs.load();
+        if (churnMs > 0 && begin >= nextDrain) {
             drained = static_cast<std::size_t>(m_drains.fetch_add(1)) % m_hosts.size();
-            nextDrain = begin + m_churnMs;
+            nextDrain = begin + churnMs;
         }
         std::vector<HttpRequest> requests;
         for (std::size_t i = 0; i < m_hosts.size(); ++i) {
--- a/src/programs/bench_fleetclient_p.h
+++ b/src/programs/bench_fleetclient_p.h
@@ -58,12 +58,16 @@
 class Announcer
 {
 public:
-    /// @param churnMs time from one drained backend server to the next; 0 for none
-    Announcer(std::vector<FleetHost> hosts, std::int64_t churnMs);
+    explicit Announcer(std::vector<FleetHost> hosts);
     ~Announcer();
     Announcer(const Announcer &) = delete;
     Announcer &operator=(const Announcer &) = delete;
 
+    /// @param periodMs time from one drained backend server to the next; 0 for none
+    void setChurn(std::int64_t periodMs)
+    {
+        m_churnMs.store(periodMs);
+    }
     std::int64_t drains() const
     {
         return m_drains.load();
@@ -73,7 +77,7 @@
     void run();
 
     std::vector<FleetHost> m_hosts;
-    std::int64_t m_churnMs;
+    std::atomic<std::int64_t> m_churnMs{0};
     std::atomic<std::int64_t> m_drains{0};
     std::atomic<bool> m_stopping{false};
     std::thread m_thread;
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -103,7 +103,7 @@
         if (!m_requests.publish(m_snapshot)) {
             m_log->event("snapshot-refused", "version=" + std::to_string(m_snapshot->version()));
         }
-        m_requests.ownershipChanged();
+        updateKeyOwners();
         if (m_activations.empty() || m_activations.back().version != m_snapshot->version()) {
             m_activations.push_back({m_snapshot->version(), wallClockMs()});
             if (m_activations.size() > kKeptActivations) {
@@ -112,6 +112,26 @@
         }
     }
 
+    /// Hosts that may own keys of the local service. Owners are certain of their keys only while this set stays as it
+    /// is.
+    void updateKeyOwners()
+    {
+        std::vector<std::string> owners;
+        const ServiceHandle service = m_backend ? m_snapshot->findService(m_backend->service) : ServiceHandle{};
+        if (isValid(service)) {
+            for (const SnapshotBackend &backend : m_snapshot->backends(service)) {
+                if (backend.record && backend.record->state == wire::HostState::Serving
+                    && backend.record->liveness != wire::Liveness::Dead) {
+                    owners.push_back(backend.host);
+                }
+            }
+        }
+        if (owners != m_keyOwners) {
+            m_keyOwners = std::move(owners);
+            m_requests.ownershipChanged();
+        }
+    }
+
     void onReadiness(bool ready, Reason reason) override
     {
         m_ready = ready;
@@ -257,6 +277,7 @@
     std::unique_ptr<HttpServer> m_admin;
     Socket m_signals;
     std::shared_ptr<const Snapshot> m_snapshot;
+    std::vector<std::string> m_keyOwners;
     std::deque<ActivationTime> m_activations;
     std::optional<Announcement> m_backend;
     const std::int64_t m_startedMs = wallClockMs();
--- a/tests/core_requests_measure.cpp
+++ b/tests/core_requests_measure.cpp
@@ -8,7 +8,7 @@
 // Measurements quoted in docs/decisions. Hidden: run with `core-tests "[measure]"`.
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::requesttest;
 
 namespace {
 
