--- a/src/programs/bench_fleet.cpp
+++ b/src/programs/bench_fleet.cpp
@@ -23,6 +23,9 @@
 constexpr std::int64_t kSettleMs = 60000;
 constexpr std::int64_t kPollMs = 200;
 constexpr std::int64_t kTickMs = 5;
+constexpr std::int64_t kIdleStepMs = 5000;
+constexpr int kMaxIdleSteps = 30;
+constexpr double kSteadyShare = 0.97;
 
 struct Options {
     std::string hostsFile;
@@ -256,21 +259,43 @@
         return json::parse(results.front().body, nullptr, false);
     }
 
-    /// Control bytes per second and node, both directions, without changes.
-    double measureIdle()
+    /// Control bytes per second and node, both directions, over a time without changes.
+    double measureBytes(std::int64_t durationMs)
     {
-        pause(3000);
         const auto begin = scrapeCounters(m_client, m_hosts);
         const TimeMs start = monotonicMs();
-        pause(m_options.idleMs);
+        pause(durationMs);
         const auto end = scrapeCounters(m_client, m_hosts);
         const double seconds = static_cast<double>(monotonicMs() - start) / 1000;
-        double bytes = 0;
-        for (const char *name : {"fulmarledge_control_bytes_in_total", "fulmarledge_control_bytes_out_total",
-                                 "fulmarledge_platform_bytes_in_total"}) {
-            bytes += sumOf(end, name, {}) - sumOf(begin, name, {});
+        double total = 0;
+        m_idleByKind.clear();
+        for (const auto &[name, kinds] : end) {
+            if (name.find("_bytes_") == std::string::npos) {
+                continue;
+            }
+            for (const auto &[kind, value] : kinds) {
+                const double bytes = (value - sumOf(begin, name, {kind})) / seconds / static_cast<double>(m_hosts.size());
+                total += bytes;
+                if (bytes > 0) {
+                    m_idleByKind[name + " " + kind] = bytes;
+                }
+            }
+        }
+        return total;
+    }
+
+    /// Waits until the records of the start have been gossiped, which shows in traffic that no longer falls.
+    double measureIdle()
+    {
+        double previous = measureBytes(kIdleStepMs);
+        for (int step = 0; step < kMaxIdleSteps; ++step) {
+            const double current = measureBytes(kIdleStepMs);
+            if (current > previous * kSteadyShare) {
+                break;
+            }
+            previous = current;
         }
-        return bytes / seconds / static_cast<double>(m_hosts.size());
+        return measureBytes(m_options.idleMs);
     }
 
     std::map<std::string, ProcessUse> processUse()
@@ -409,6 +434,7 @@
         report["control_bytes_per_change_per_node"] = bytes / perChange;
         report["copies_per_change"] = copies / perChange;
         report["idle_control_bytes_per_second_per_node"] = idle;
+        report["idle_control_bytes_by_kind"] = m_idleByKind;
         report["platform_reads"] = callsOf(statsAfter, true) - callsOf(statsBefore, true);
         report["platform_writes"] = callsOf(statsAfter, false) - callsOf(statsBefore, false);
         report["waiting_watches"] = statsAfter.contains("watches") ? statsAfter["watches"] : json();
@@ -449,6 +475,7 @@
     Metrics m_metrics;
     HttpStore m_store;
     SystemRandom m_random;
+    std::map<std::string, double> m_idleByKind;
     Version m_head = 0;
     int m_refused = 0;
     std::map<Version, std::int64_t> m_accepted; ///< wall clock of each acceptance
