--- a/src/core/spread_p.h
+++ b/src/core/spread_p.h
@@ -17,6 +17,11 @@
 
 enum class Outcome : std::uint8_t { Held, NoBase, Rejected };
 
+inline SocketAddress addressOf(const wire::Header &from)
+{
+    return {from.address, static_cast<std::uint16_t>(from.controlPort)};
+}
+
 class Spread::Private : public HeadReaderListener
 {
 public:
@@ -111,6 +116,10 @@
     {
         return m_members.zoneMembers(m_members.self().zone);
     }
+    Advertiser advertiser(const wire::Header &from, Version version) const
+    {
+        return {from.host, addressOf(from), version, m_now};
+    }
     Source sourceOf(const wire::Header &from, Source inZone) const
     {
         return from.zone == m_members.self().zone ? inZone : Source::OtherZone;
--- a/src/core/spreaddigest.cpp
+++ b/src/core/spreaddigest.cpp
@@ -2,19 +2,10 @@
 
 namespace fulmarledge {
 
-namespace {
-
-SocketAddress addressOf(const wire::Header &from)
-{
-    return {from.address, static_cast<std::uint16_t>(from.controlPort)};
-}
-
-} // namespace
-
 void Spread::Private::noteVersion(const wire::Header &from, Version version)
 {
     if (version > m_held.newestVersion()) {
-        m_pulls.note(m_now, {from.host, addressOf(from), version, m_now});
+        m_pulls.note(m_now, advertiser(from, version));
     }
 }
 
@@ -128,7 +119,7 @@
         return;
     }
     // The delta did not fit or gave another digest, so the full manifest is asked for.
-    m_pulls.pullNow(m_now, {from.host, addressOf(from), content.version, m_now}, true);
+    m_pulls.pullNow(m_now, advertiser(from, content.version), true);
 }
 
 void Spread::Private::tickPull()
--- a/src/core/spreadpush.cpp
+++ b/src/core/spreadpush.cpp
@@ -21,18 +21,12 @@
     const Version version = push.content.version;
     if (version > m_held.newestVersion()) {
         const Outcome outcome = accept(push.content, source);
-        if (outcome == Outcome::Rejected) {
-            m_pulls.pullNow(
-                m_now, {from.host, {from.address, static_cast<std::uint16_t>(from.controlPort)}, version, m_now}, true);
-            return;
+        if (outcome == Outcome::NoBase && source == Source::ZonePush && !interval.isEmpty()
+            && m_duties.size() < kMaxDuties) {
+            m_duties.push_back({version, interval});
         }
-        if (outcome == Outcome::NoBase) {
-            if (source == Source::ZonePush && !interval.isEmpty() && m_duties.size() < kMaxDuties) {
-                m_duties.push_back({version, interval});
-            }
-            m_pulls.pullNow(m_now,
-                            {from.host, {from.address, static_cast<std::uint16_t>(from.controlPort)}, version, m_now},
-                            false);
+        if (outcome != Outcome::Held) {
+            m_pulls.pullNow(m_now, advertiser(from, version), outcome == Outcome::Rejected);
             return;
         }
     } else if (version < m_held.newestVersion()) {
@@ -43,7 +37,7 @@
         wire::PushAck ack;
         ack.version = m_held.newestVersion();
         reply.__set_pushAck(ack);
-        m_peers.send({from.address, static_cast<std::uint16_t>(from.controlPort)}, reply);
+        m_peers.send(addressOf(from), reply);
     }
     if (version != m_held.newestVersion()) {
         return;
--- a/tests/core_spread_bounds.cpp
+++ b/tests/core_spread_bounds.cpp
@@ -102,12 +102,14 @@
         fleet.run(5000);
         const std::int64_t reads = fleet.platform.reads;
         const std::int64_t watches = fleet.platform.watches;
+        const double fetches = fleet.metrics["spread_platform_calls/fetch"];
         fleet.accept();
         fleet.run(1000);
+        CHECK(fleet.metrics["spread_platform_calls/fetch"] - fetches <= settings.zones);
         // 12 watchers: each may check `head` once in this second, renew its watch and fetch the content.
         CHECK(fleet.platform.reads - reads <= 12 * 2);
         CHECK(fleet.platform.watches - watches <= 12);
-        CHECK(fleet.platform.writes == 0);
+        CHECK(fleet.writes() == 0);
     }
 }
 
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -120,8 +120,39 @@
     int corruptPerMille = 0; ///< contents with a changed byte
 };
 
+/// Answers "invalid" to every call that the spread has no use for.
+class ReadOnlyStore : public PlatformStore
+{
+public:
+    std::int64_t writes = 0;
+
+    void list(std::string_view, StoreCallback callback) override
+    {
+        callback({StoreStatus::Invalid, {}, 0, ""});
+    }
+    void create(std::string_view, std::string_view, std::string_view, StoreCallback callback) override
+    {
+        refuseWrite(callback);
+    }
+    void update(std::string_view, std::string_view, std::int64_t, std::string_view, StoreCallback callback) override
+    {
+        refuseWrite(callback);
+    }
+    void remove(std::string_view, std::string_view, std::int64_t, StoreCallback callback) override
+    {
+        refuseWrite(callback);
+    }
+
+private:
+    void refuseWrite(const StoreCallback &callback)
+    {
+        ++writes;
+        callback({StoreStatus::Invalid, {}, 0, ""});
+    }
+};
+
 /// The platform's object API in memory, for any number of nodes. Counts the calls.
-class FakePlatform : public PlatformStore
+class FakePlatform : public ReadOnlyStore
 {
 public:
     FakePlatform(EventQueue &queue, SeededRandom &random)
@@ -132,7 +163,6 @@
 
     PlatformFaults faults;
     std::int64_t reads = 0;
-    std::int64_t writes = 0;
     std::int64_t watches = 0;
     std::int64_t valueBytes = 0; ///< of the objects returned
     std::map<TimeMs, std::int64_t> callsPerSecond;
@@ -153,26 +183,6 @@
         }
         answer(reply, callback);
     }
-    void list(std::string_view, StoreCallback callback) override
-    {
-        countCall(reads);
-        answer({StoreStatus::Invalid, {}, 0, ""}, callback);
-    }
-    void create(std::string_view, std::string_view, std::string_view, StoreCallback callback) override
-    {
-        countCall(writes);
-        answer({StoreStatus::Invalid, {}, 0, ""}, callback);
-    }
-    void update(std::string_view, std::string_view, std::int64_t, std::string_view, StoreCallback callback) override
-    {
-        countCall(writes);
-        answer({StoreStatus::Invalid, {}, 0, ""}, callback);
-    }
-    void remove(std::string_view, std::string_view, std::int64_t, StoreCallback callback) override
-    {
-        countCall(writes);
-        answer({StoreStatus::Invalid, {}, 0, ""}, callback);
-    }
     void watch(std::string_view kind, std::string_view name, std::int64_t fromVersion, std::int64_t timeoutMs,
                StoreCallback callback) override
     {
--- a/tests/spreadfleet.h
+++ b/tests/spreadfleet.h
@@ -10,57 +10,12 @@
 #include <thrift/transport/TBufferTransports.h>
 #include <vector>
 
-#include "fakes.h"
+#include "fleetview.h"
 #include "fulmarledge/spread.h"
+#include "spreadrules.h"
 
 namespace fulmarledge::test {
 
-/// Checks the rules of the spread from outside: what each host runs, over all its processes.
-class SpreadRules
-{
-public:
-    void accepted(Version version, const std::string &text)
-    {
-        m_accepted[version] = text;
-    }
-    /// @param replicated another host has held the version, or the host knows no other
-    void activated(const std::string &host, Version version, const std::string &digest, const Manifest &manifest,
-                   bool replicated)
-    {
-        Version &highest = m_highest[host];
-        if (version < highest) {
-            violations.push_back("fall: " + host + " ran " + std::to_string(highest) + ", now runs "
-                                 + std::to_string(version));
-        }
-        highest = std::max(highest, version);
-        const auto text = m_accepted.find(version);
-        if (text == m_accepted.end() || manifest.canonicalText() != text->second || digest != sha256Hex(text->second)) {
-            violations.push_back("content: " + host + " runs a version " + std::to_string(version)
-                                 + " that was not accepted");
-        }
-        if (!replicated) {
-            violations.push_back("replication: " + host + " alone runs " + std::to_string(version));
-        }
-    }
-    bool caught(const std::string &rule) const
-    {
-        return std::any_of(violations.begin(), violations.end(),
-                           [&](const std::string &text) { return text.rfind(rule, 0) == 0; });
-    }
-    std::vector<std::string> violations;
-
-private:
-    std::map<Version, std::string> m_accepted;
-    std::map<std::string, Version> m_highest;
-};
-
-struct NetworkFaults {
-    int lossPerMille = 0;
-    int doublePerMille = 0;
-    int latePerMille = 0; ///< messages that arrive up to 3 s late
-    int corruptPerMille = 0; ///< contents with a changed entry
-};
-
 struct FleetSettings {
     int nodes = 12;
     int zones = 3;
@@ -82,7 +37,7 @@
     {
         m_settings.spread.expectedFleet = static_cast<std::size_t>(settings.nodes);
         for (int z = 0; z < settings.zones; ++z) {
-            m_zones["zone-" + std::to_string(z)];
+            m_directory.zones["zone-" + std::to_string(z)];
         }
         for (int i = 0; i < settings.nodes; ++i) {
             m_nodes.push_back(std::make_unique<Node>(*this, i));
@@ -136,12 +91,12 @@
     void part(const std::string &zone)
     {
         parted = zone;
-        queue.after(5000, [this, zone] { m_hiddenZone = parted == zone ? zone : ""; });
+        queue.after(5000, [this, zone] { m_directory.hiddenZone = parted == zone ? zone : ""; });
     }
     void heal()
     {
         parted.clear();
-        m_hiddenZone.clear();
+        m_directory.hiddenZone.clear();
     }
 
     /// Accepts the next version. @param text content, by default one that no version had before
@@ -207,12 +162,12 @@
     }
     void setAlone(bool alone)
     {
-        m_alone = alone;
+        m_directory.alone = alone;
     }
     /// Index of the node that holds the watch of rank 0 in `zone`.
     std::size_t firstWatcher(const std::string &zone) const
     {
-        const auto &members = m_zones.at(zone);
+        const auto &members = m_directory.zones.at(zone);
         const auto best = std::max_element(members.begin(), members.end(), [&](const Member &a, const Member &b) {
             return rendezvousWeight(zone, a.host) < rendezvousWeight(zone, b.host);
         });
@@ -227,6 +182,15 @@
         }
         return out;
     }
+    /// Platform writes of all nodes.
+    std::int64_t writes() const
+    {
+        std::int64_t sum = 0;
+        for (const auto &node : m_nodes) {
+            sum += node->writes;
+        }
+        return sum;
+    }
     void resetCopies()
     {
         for (const auto &node : m_nodes) {
@@ -251,78 +215,14 @@
     std::int64_t contentBytes = 0; ///< of messages that carry a content
 
 private:
-    class Node : public MemberView, public PeerTransport, public PlatformStore, public SpreadListener
+    class Node : public FleetView, public PeerTransport, public ReadOnlyStore, public SpreadListener
     {
     public:
         Node(SpreadFleet &owner, int index)
-            : random(owner.random.below(~std::uint64_t{0}))
+            : FleetView(owner.m_directory, index, index % owner.m_settings.zones)
+            , random(owner.random.below(~std::uint64_t{0}))
             , fleet(owner)
         {
-            member.host = "host-" + std::to_string(index);
-            member.zone = "zone-" + std::to_string(index % owner.m_settings.zones);
-            member.control = {"10.0.0.1", static_cast<std::uint16_t>(index)};
-            member.hash = memberHash(member.host);
-        }
-        void join()
-        {
-            auto &members = fleet.m_zones[member.zone];
-            const auto place
-                = std::lower_bound(members.begin(), members.end(), member.hash,
-                                   [](const Member &entry, std::uint64_t hash) { return entry.hash < hash; });
-            if (place == members.end() || place->hash != member.hash) {
-                members.insert(place, member);
-            }
-        }
-        void leave()
-        {
-            std::erase_if(fleet.m_zones[member.zone], [&](const Member &entry) { return entry.host == member.host; });
-        }
-        bool sees(const std::string &zone) const
-        {
-            const bool cut = !fleet.m_hiddenZone.empty() && zone != member.zone
-                && (fleet.m_hiddenZone == zone || fleet.m_hiddenZone == member.zone);
-            return !cut && (!fleet.m_alone || zone == member.zone);
-        }
-        std::span<const Member> zoneMembers(std::string_view zone) const override
-        {
-            if (fleet.m_alone) {
-                return {&member, zone == member.zone ? std::size_t{1} : 0};
-            }
-            const auto found = fleet.m_zones.find(std::string(zone));
-            return found == fleet.m_zones.end() || !sees(found->first) ? std::span<const Member>() : found->second;
-        }
-        std::span<const std::string> zones() const override
-        {
-            m_zoneNames.clear();
-            for (const auto &[name, members] : fleet.m_zones) {
-                if (sees(name) && !members.empty()) {
-                    m_zoneNames.push_back(name);
-                }
-            }
-            return m_zoneNames;
-        }
-        const Member *find(std::string_view) const override
-        {
-            return nullptr;
-        }
-        std::size_t liveCount() const override
-        {
-            if (fleet.m_alone) {
-                return 1;
-            }
-            std::size_t count = 0;
-            for (const auto &[name, members] : fleet.m_zones) {
-                count += sees(name) ? members.size() : 0;
-            }
-            return count;
-        }
-        std::uint64_t tableHash() const override
-        {
-            return 0x1234567890abcdefU;
-        }
-        const Member &self() const override
-        {
-            return member;
         }
 
         void send(const SocketAddress &to, const wire::Envelope &message) override
@@ -343,25 +243,6 @@
                 fleet.platform.watch(kind, name, from, timeout, whenAwake(std::move(callback)));
             }
         }
-        void list(std::string_view kind, StoreCallback callback) override
-        {
-            fleet.platform.list(kind, callback);
-        }
-        void create(std::string_view kind, std::string_view name, std::string_view value,
-                    StoreCallback callback) override
-        {
-            fleet.platform.create(kind, name, value, callback);
-        }
-        void update(std::string_view kind, std::string_view name, std::int64_t version, std::string_view value,
-                    StoreCallback callback) override
-        {
-            fleet.platform.update(kind, name, version, value, callback);
-        }
-        void remove(std::string_view kind, std::string_view name, std::int64_t version, StoreCallback callback) override
-        {
-            fleet.platform.remove(kind, name, version, callback);
-        }
-
         void onManifest(Version version, const std::string &digest, std::shared_ptr<const Manifest> manifest) override
         {
             const bool replicated = liveCount() <= 1
@@ -412,7 +293,6 @@
             };
         }
 
-        Member member;
         SeededRandom random;
         SpreadFleet &fleet;
         std::unique_ptr<Spread> spread;
@@ -421,9 +301,6 @@
         int copies = 0;
         Version everHeld = 0;
         std::deque<std::function<void()>> inbox;
-
-    private:
-        mutable std::vector<std::string> m_zoneNames;
     };
 
     void deliver(Node &from, std::size_t to, const wire::Envelope &original)
@@ -484,9 +361,7 @@
     FleetSettings m_settings;
     NullLog m_log;
     Head m_head;
-    std::map<std::string, std::vector<Member>> m_zones;
-    std::string m_hiddenZone;
-    bool m_alone = false;
+    FleetDirectory m_directory;
     std::vector<std::unique_ptr<Node>> m_nodes;
 };
 
--- /dev/null
+++ b/tests/spreadrules.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fakes.h"
+
+namespace fulmarledge::test {
+
+/// Checks the rules of the spread from outside: what each host runs, over all its processes.
+class SpreadRules
+{
+public:
+    void accepted(Version version, const std::string &text)
+    {
+        m_accepted[version] = text;
+    }
+    /// @param replicated another host has held the version, or the host knows no other
+    void activated(const std::string &host, Version version, const std::string &digest, const Manifest &manifest,
+                   bool replicated)
+    {
+        Version &highest = m_highest[host];
+        if (version < highest) {
+            violations.push_back("fall: " + host + " ran " + std::to_string(highest) + ", now runs "
+                                 + std::to_string(version));
+        }
+        highest = std::max(highest, version);
+        const auto text = m_accepted.find(version);
+        if (text == m_accepted.end() || manifest.canonicalText() != text->second || digest != sha256Hex(text->second)) {
+            violations.push_back("content: " + host + " runs a version " + std::to_string(version)
+                                 + " that was not accepted");
+        }
+        if (!replicated) {
+            violations.push_back("replication: " + host + " alone runs " + std::to_string(version));
+        }
+    }
+    bool caught(const std::string &rule) const
+    {
+        return std::any_of(violations.begin(), violations.end(),
+                           [&](const std::string &text) { return text.rfind(rule, 0) == 0; });
+    }
+    std::vector<std::string> violations;
+
+private:
+    std::map<Version, std::string> m_accepted;
+    std::map<std::string, Version> m_highest;
+};
+
+struct NetworkFaults {
+    int lossPerMille = 0;
+    int doublePerMille = 0;
+    int latePerMille = 0; ///< messages that arrive up to 3 s late
+    int corruptPerMille = 0; ///< contents with a changed entry
+};
+
+} // namespace fulmarledge::test
