Do not answer a reply about the floor with a manifest

A member that does not know its floor replies with version 0 whatever it holds, and the asker sent it a full manifest for that. Replies now bring no content.

--- a/src/core/spreaddigest.cpp
+++ b/src/core/spreaddigest.cpp
@@ -50,26 +50,25 @@
 
 void Spread::Private::onDigest(const wire::Header &from, const wire::Digest &digest)
 {
-    if (digest.__isset.nonce) {
-        if (!digest.reply) {
-            wire::Envelope message;
-            wire::Digest own = ownDigest();
-            own.version = m_floor ? m_held.newestVersion() : 0;
-            own.reply = true;
-            own.__set_nonce(digest.nonce);
-            message.__set_digest(own);
-            m_peers.send(addressOf(from), message);
-            // The asker pulls what it lacks: three answers with a manifest would be two too many.
-            return;
-        }
-        if (digest.nonce == m_peerFloor.nonce()) {
-            m_peerFloor.onAnswer(from.host, digest.version);
-        } else if (m_probeNonce != 0 && digest.nonce == m_probeNonce) {
-            onProbeAnswer(digest.version);
-        }
+    if (digest.__isset.nonce && !digest.reply) {
+        wire::Envelope message;
+        wire::Digest own = ownDigest();
+        own.version = m_floor ? m_held.newestVersion() : 0;
+        own.reply = true;
+        own.__set_nonce(digest.nonce);
+        message.__set_digest(own);
+        m_peers.send(addressOf(from), message);
+        // The asker pulls what it lacks: three answers with a manifest would be two too many.
+        return;
+    }
+    if (digest.__isset.nonce && digest.nonce == m_peerFloor.nonce()) {
+        m_peerFloor.onAnswer(from.host, digest.version);
+    } else if (digest.__isset.nonce && digest.nonce == m_probeNonce) {
+        onProbeAnswer(digest.version);
     }
     noteVersion(from, digest.version);
-    if (digest.version < m_held.newestVersion() && m_now - m_heldSince >= m_settings.settleMs) {
+    // A reply says 0 when the sender does not know its floor, so it does not show what the sender lacks.
+    if (!digest.reply && digest.version < m_held.newestVersion() && m_now - m_heldSince >= m_settings.settleMs) {
         answer(from, digest.version);
     }
 }
--- a/tests/core_spread_faults.cpp
+++ b/tests/core_spread_faults.cpp
@@ -285,6 +285,31 @@
 
 // Guards against a holder that sends full manifests to all who ask at once.
 TEST_CASE("a holder sends at most the allowed number of full manifests and refuses the others")
+{
+    const FleetSettings settings;
+    SpreadFleet fleet(settings);
+    settled(fleet);
+    const auto askAll = [&] {
+        for (int i = 1; i < 12; ++i) {
+            wire::Envelope message;
+            message.header.host = "host-" + std::to_string(i);
+            message.header.zone = "zone-" + std::to_string(i % 3);
+            message.header.controlPort = i;
+            message.__set_pull(wire::Pull());
+            fleet.spread(0)->onMessage(fleet.queue.now(), message);
+        }
+    };
+    const double sent = fleet.metrics["spread_answers/full"];
+    askAll();
+    CHECK(fleet.metrics["spread_answers/full"] - sent == settings.spread.fullAnswers);
+    CHECK(fleet.metrics["spread_pulls_refused/"] == 11 - settings.spread.fullAnswers);
+    fleet.run(settings.spread.fullAnswerWindowMs);
+    askAll();
+    CHECK(fleet.metrics["spread_answers/full"] - sent == 2 * settings.spread.fullAnswers);
+}
+
+// Guards against a fleet that stays without a version when a single host still has it.
+TEST_CASE("one survivor of 60 brings its version to all others while the platform is down")
 {
     FleetSettings settings = withPeerFloor();
     settings.nodes = 60;
@@ -296,14 +321,61 @@
         fleet.kill(i);
         fleet.start(i);
     }
-    const double before = fleet.metrics["spread_answers/full"];
-    while (fleet.spread(0)->version() == 1 && fleet.metrics["spread_answers/full"] == before) {
-        fleet.run(1);
+    double before = fleet.metrics["spread_answers/full"];
+    for (int period = 0; period < 20; ++period) {
+        // No more full manifests than the holders at the beginning of the period may send in two windows.
+        std::size_t holders = 0;
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            holders += fleet.spread(i)->heldVersion() > 0 ? 1 : 0;
+        }
+        fleet.run(std::min(settings.spread.settleMs, settings.spread.fullAnswerWindowMs) - 10);
+        const double now = fleet.metrics["spread_answers/full"];
+        CHECK(now - before <= static_cast<double>(holders) * settings.spread.fullAnswers);
+        before = now;
     }
-    // The first receivers answer others after the settling time, so only the survivor sends in this time.
-    fleet.run(settings.spread.settleMs - 10);
-    CHECK(fleet.metrics["spread_answers/full"] - before <= settings.spread.fullAnswers);
     fleet.run(60000);
     requireAgreement(fleet, 1);
-    CHECK(fleet.metrics["spread_pulls_refused/"] > 0);
+}
+
+// Guards against answers to a question of the floor that cost a manifest, and against late messages that change state.
+TEST_CASE("an answer about the floor brings no manifest, and late messages change nothing")
+{
+    SpreadFleet fleet({});
+    settled(fleet);
+    fleet.accept();
+    requireAgreement(fleet);
+    fleet.run(1000);
+    wire::Envelope message;
+    message.header.host = "host-1";
+    message.header.zone = "zone-1";
+    message.header.controlPort = 1;
+    const double answers = fleet.metrics["spread_answers/full"] + fleet.metrics["spread_answers/delta"];
+
+    // A restarted member reports version 0 while it does not know its floor, whatever it holds.
+    wire::Envelope reply = message;
+    wire::Digest digest;
+    digest.reply = true;
+    digest.__set_nonce(17);
+    reply.__set_digest(digest);
+    fleet.spread(0)->onMessage(fleet.queue.now(), reply);
+    CHECK(fleet.metrics["spread_answers/full"] + fleet.metrics["spread_answers/delta"] == answers);
+
+    wire::Push push;
+    push.content.version = 1;
+    push.content.__set_full(manifestText(3, 2, 1));
+    push.content.digest = sha256Hex(push.content.full);
+    push.intervalEnd = -1;
+    wire::Envelope late = message;
+    late.__set_push(push);
+    wire::Envelope lateContent = message;
+    lateContent.__set_content(push.content);
+    wire::Envelope ack = message;
+    ack.__set_pushAck(wire::PushAck());
+    const double pushes = fleet.metrics["spread_pushes/"];
+    for (const wire::Envelope &old : {late, lateContent, ack, late}) {
+        fleet.spread(0)->onMessage(fleet.queue.now(), old);
+    }
+    CHECK(fleet.spread(0)->version() == 2);
+    CHECK(fleet.spread(0)->activations().size() <= 2);
+    CHECK(fleet.metrics["spread_pushes/"] == pushes);
 }
