Keep repeated contact reads apart from first reads

In a herd of 9,700 without contacts the repeats of early hosts overlapped the first reads of late ones: 700 reads/s at most, bound 1,000 for contacts and head together.

--- a/src/core/contacts.cpp
+++ b/src/core/contacts.cpp
@@ -253,7 +253,9 @@
     const TimeMs spread = settings.plannedMembers * 1000 / settings.contactReadsPerSecond;
     const TimeMs base = std::max(spread, kMinReadSpacingMs);
     const TimeMs wait = std::min(base << contacts.failures, std::max(base, kMaxReadSpacingMs));
-    contacts.nextReadAt = now + std::max(retryAfterMs, TimeMs{0}) + jitter(wait);
+    // At least the whole span, so that no host reads twice before every host has read once.
+    contacts.nextReadAt = now + std::max(retryAfterMs, TimeMs{0}) + wait
+        + static_cast<TimeMs>(random.below(static_cast<std::uint64_t>(wait) + 1));
 }
 
 void Membership::Private::finishRound()
--- a/tests/core_membershipcontacts.cpp
+++ b/tests/core_membershipcontacts.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <cstdio>
 
 #include "membershipfleet.h"
 
@@ -187,3 +188,23 @@
     CHECK(fleet.platform.objects.size() == 1);
     CHECK(fleet.platform.writesBySecond.size() == 1);
 }
+
+// Measurement for docs/measurements/membership.md.
+TEST_CASE("platform calls of a herd", "[.measure]")
+{
+    for (const TimeMs latency : {5, 3000}) {
+        Fleet fleet(1);
+        fleet.platform.latencyMs = latency;
+        herd(fleet, kFleetSize, false, 60000);
+        const auto peak = [](const std::map<TimeMs, int> &bySecond) {
+            int highest = 0;
+            for (const auto &[second, count] : bySecond) {
+                highest = std::max(highest, count);
+            }
+            return highest;
+        };
+        std::printf("latency %lld ms: at most %d reads/s and %d writes/s, %zu contacts\n",
+                    static_cast<long long>(latency), peak(fleet.platform.readsBySecond),
+                    peak(fleet.platform.writesBySecond), fleet.platform.objects.size());
+    }
+}
