--- a/src/programs/bench_fleet.cpp
+++ b/src/programs/bench_fleet.cpp
@@ -274,7 +274,8 @@
                 continue;
             }
             for (const auto &[kind, value] : kinds) {
-                const double bytes = (value - sumOf(begin, name, {kind})) / seconds / static_cast<double>(m_hosts.size());
+                const double bytes
+                    = (value - sumOf(begin, name, {kind})) / seconds / static_cast<double>(m_hosts.size());
                 total += bytes;
                 if (bytes > 0) {
                     m_idleByKind[name + " " + kind] = bytes;
--- a/tests/spreadrules.h
+++ b/tests/spreadrules.h
@@ -7,7 +7,7 @@
 
 #include "fakes.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::spreadtest {
 
 /// Checks the rules of the spread from outside: what each host runs, over all its processes.
 class SpreadRules
@@ -55,4 +55,4 @@
     int corruptPerMille = 0; ///< contents with a changed entry
 };
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::spreadtest
