--- a/src/programs/node_admin.cpp
+++ b/src/programs/node_admin.cpp
@@ -37,6 +37,7 @@
     const Spread &spread = report.control.spread();
     json document{{"host", report.host},
                   {"zone", report.zone},
+                  {"started_ms", report.startedMs},
                   {"version", spread.version()},
                   {"digest", spread.digest()},
                   {"held_version", spread.heldVersion()},
@@ -61,8 +62,8 @@
     }
     document["events"] = std::move(events);
     json activations = json::array();
-    for (const auto &[version, wallClockMs] : report.control.activations()) {
-        activations.push_back({{"version", version}, {"time_ms", wallClockMs}});
+    for (const ActivationTime &activation : report.activations) {
+        activations.push_back({{"version", activation.version}, {"time_ms", activation.wallClockMs}});
     }
     document["activations"] = std::move(activations);
     return document.dump();
