--- a/tests/fleetview.h
+++ b/tests/fleetview.h
@@ -8,7 +8,7 @@
 
 #include "fulmarledge/memberview.h"
 
-namespace fulmarledge::test {
+namespace fulmarledge::spreadtest {
 
 /// Membership of a whole fleet, shared by the views of its nodes.
 struct FleetDirectory {
@@ -96,4 +96,4 @@
     mutable std::vector<std::string> m_zoneNames;
 };
 
-} // namespace fulmarledge::test
+} // namespace fulmarledge::spreadtest
