--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -1,13 +1,14 @@
 # Starts and stops the processes of a deployment on loopback addresses. Sourced by other scripts.
 #
-# Each host has an address of its own, 127.<zone number>.<service number>.<host number>, and the same ports.
+# Each host has an address of its own, 127.<address_base + zone number>.<service number>.<host number>, and the same ports.
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 bin=${FULMARLEDGE_BIN:-$root/build/release}
 caller_port=8080
 admin_port=8081
 backend_port=9000
-platform_address=127.0.0.1:7000
+platform_address=${platform_address:-127.0.0.1:7000}
+address_base=${address_base:-10}
 work_dir=$(mktemp -d)
 declare -A node_pid backend_pid host_address host_zone host_service
 platform_pid=
@@ -42,7 +43,7 @@
             next[$z]=$((${next[$z]:-0} + 1))
             local host="${zones[z]}-${services[s]}-${next[$z]}"
             hosts+=("$host")
-            host_address[$host]="127.$((10 + z)).$((s + 1)).${next[$z]}"
+            host_address[$host]="127.$((address_base + z)).$((s + 1)).${next[$z]}"
             host_zone[$host]=${zones[z]}
             host_service[$host]=${services[s]}
         done
