--- a/src/programs/bench_fleet.cpp
+++ b/src/programs/bench_fleet.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -68,7 +69,7 @@
         return 0;
     }
     std::sort(values.begin(), values.end());
-    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+    const auto index = static_cast<std::size_t>(std::lround(share * static_cast<double>(values.size() - 1)));
     return values[index];
 }
 
@@ -109,6 +110,7 @@
         const auto before = scrapeCounters(m_client, m_hosts);
         const json statsBefore = platformStats();
         const auto useBefore = processUse();
+        std::ofstream(m_options.pidsDir + "/changes-begun") << wallClockMs() << "\n";
         const TimeMs begin = monotonicMs();
         for (int change = 1; change <= m_options.changes; ++change) {
             const TimeMs next = begin + change * m_options.intervalMs;
@@ -493,7 +495,8 @@
     Options options;
     SettingsSchema schema("fulmarledge-bench fleet");
     schema.addText("hosts-file", "file with lines of HOST ZONE ADDRESS SERVICE", std::nullopt, options.hostsFile);
-    schema.addText("pids-dir", "folder with HOST.pid files", std::nullopt, options.pidsDir);
+    schema.addText("pids-dir", "folder with HOST.pid files; gets the file changes-begun when the changes begin",
+                   std::nullopt, options.pidsDir);
     schema.addText("faults-file", "file with lines of HOST BEGIN_MS END_MS", "", options.faultsFile);
     schema.addAddress("platform", "IP:PORT of the platform stand-in", std::nullopt, options.platform);
     schema.addInteger("changes", "manifests to submit", "20", 1, 250, options.changes);
