Read the version floor sooner after the restart of a single host

Cause: at 9,700 hosts each restarted process waited up to 32 s, 16 s on average, before it served callers, as if the whole fleet had returned. Change: a process that hears from an established member draws its time again from a quarter of the window. Contact reads of a returning fleet are planned at 250/s, so that they and the spread's reads stay below 1,000/s together.

--- a/src/core/headreader.cpp
+++ b/src/core/headreader.cpp
@@ -35,11 +35,22 @@
     m_watch.notBefore = now;
     m_fetch.notBefore = std::max(m_fetch.notBefore, now);
     m_readNeeded = true;
+    m_hastened = false;
     m_objectVersion.reset();
     const auto delay = static_cast<TimeMs>(m_random.below(static_cast<std::uint64_t>(windowMs) + 1));
     m_read.notBefore = std::max(m_throttledUntil, now + delay);
 }
 
+void HeadReader::hasten(TimeMs now, TimeMs windowMs)
+{
+    if (m_hastened || !m_readNeeded || m_read.active || m_read.failures > 0) {
+        return;
+    }
+    m_hastened = true;
+    const auto delay = static_cast<TimeMs>(m_random.below(static_cast<std::uint64_t>(windowMs) + 1));
+    m_read.notBefore = std::min(m_read.notBefore, std::max(m_throttledUntil, now + delay));
+}
+
 void HeadReader::setWatching(TimeMs now, bool watching)
 {
     if (watching == m_watching) {
--- a/src/core/headreader_p.h
+++ b/src/core/headreader_p.h
@@ -30,6 +30,8 @@
 
     /// Forgets all calls in progress and reads `head` once, at a random time within `windowMs`.
     void restart(TimeMs now, TimeMs windowMs);
+    /// Draws the time of a first read that is still to come again, from the shorter `windowMs`. Acts once per restart.
+    void hasten(TimeMs now, TimeMs windowMs);
     /// Starts or stops watching. A node that starts reads `head` first.
     void setWatching(TimeMs now, bool watching);
     /// Wants the content of `version` from `at` on. Replaces an earlier wish.
@@ -90,6 +92,7 @@
     TimeMs m_throttledUntil = 0; ///< retry-after holds for every sort of call
     bool m_watching = false;
     bool m_readNeeded = false;
+    bool m_hastened = false;
     bool m_reachable = false;
     std::optional<std::int64_t> m_objectVersion; ///< platform version of `head` last read
     Call m_read;
--- a/src/core/spread.cpp
+++ b/src/core/spread.cpp
@@ -75,6 +75,7 @@
         m_pulls.onRefusal(now, message.pullRefusal.retryAfterMs);
     }
     noteVersion(from, from.version);
+    hastenFloor(from);
 }
 
 void Spread::Private::clockJump(TimeMs now)
--- a/src/core/spread_p.h
+++ b/src/core/spread_p.h
@@ -66,6 +66,7 @@
     void onHead(const Head &head) override;
     void onContent(Version version, const std::string &digest, const std::string &text) override;
     void onPlatformFailure() override;
+    void hastenFloor(const wire::Header &from);
     void resetFloor();
     void setFloor(Version floor, std::string_view from);
     void tickPeerFloor();
--- a/src/core/spreadfloor.cpp
+++ b/src/core/spreadfloor.cpp
@@ -10,6 +10,11 @@
 constexpr int kFloorAsks = 3;
 /// Time that a node which is not a watcher waits for its peers before it fetches from the platform itself.
 constexpr TimeMs kFetchFallbackMs = 2000;
+/// A process is established when it has run for this much longer than the local one.
+constexpr std::int64_t kEstablishedMs = 60000;
+/// Half of the fleet that restarts together then reads at twice the rate planned for all of it, 600/s, which leaves
+/// room for joins within the bound of 1,000/s.
+constexpr TimeMs kPartialRestartFactor = 4;
 
 } // namespace
 
@@ -32,6 +37,15 @@
     m_reader.restart(m_now, windowMs());
 }
 
+void Spread::Private::hastenFloor(const wire::Header &from)
+{
+    // The first incarnation is the wall-clock time of the start. A member that has run a version for long shows that
+    // this is not the return of a whole fleet.
+    if (!m_floor && from.version > 0 && m_members.self().incarnation - from.incarnation >= kEstablishedMs) {
+        m_reader.hasten(m_now, windowMs() / kPartialRestartFactor);
+    }
+}
+
 void Spread::Private::setFloor(Version floor, std::string_view from)
 {
     m_floor = floor;
--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -2,6 +2,14 @@
 
 namespace fulmarledge {
 
+namespace {
+
+/// A return of the whole fleet may cost the platform 1,000 reads/s. The spread was measured at 649/s at most and the
+/// reads of contacts at 1.2 times their planned rate, so 250/s keeps the sum below the bound.
+constexpr int kContactReadsPerSecond = 250;
+
+} // namespace
+
 SettingsSchema nodeSchema(NodeSettings &settings)
 {
     constexpr std::size_t kMiB = 1024 * 1024;
@@ -66,6 +74,7 @@
 {
     settings.control.spread.expectedFleet = static_cast<std::size_t>(settings.expectedHosts);
     settings.control.membership.plannedMembers = settings.expectedHosts;
+    settings.control.membership.contactReadsPerSecond = kContactReadsPerSecond;
     settings.requests.host = settings.host;
     settings.requests.zone = settings.zone;
     settings.requests.caller = {settings.address, settings.callerPort};
--- a/tests/core_spread_faults.cpp
+++ b/tests/core_spread_faults.cpp
@@ -209,6 +209,26 @@
     requireAgreement(fleet);
 }
 
+// Guards against a single restarted host that waits as long as one of a whole fleet: 32 s at 9,700 hosts.
+TEST_CASE("restart of one node among established ones: its floor is read in a quarter of the time")
+{
+    FleetSettings settings;
+    settings.nodes = 12;
+    settings.plannedNodes = 9700;
+    SpreadFleet fleet(settings);
+    fleet.accept();
+    fleet.startAll();
+    fleet.run(120000);
+    for (std::size_t i = 0; i < 10; ++i) {
+        CAPTURE(i);
+        fleet.kill(i);
+        fleet.run(1000);
+        fleet.start(i);
+        fleet.run(9000);
+        CHECK(fleet.spread(i)->isReady());
+    }
+}
+
 // Guards against a change lost with the watchers that would have pushed it.
 TEST_CASE("watcher death: the next rank takes over")
 {
--- a/tests/spreadfleet.h
+++ b/tests/spreadfleet.h
@@ -16,8 +16,12 @@
 
 namespace fulmarledge::spreadtest {
 
+/// Wall clock at the start of the test, in milliseconds since 1970.
+constexpr std::int64_t kFirstStartMs = 1700000000000;
+
 struct FleetSettings {
     int nodes = 12;
+    int plannedNodes = 0; ///< size for which restarts are spaced, if above `nodes`
     int zones = 3;
     std::uint64_t seed = 1;
     int services = 3;
@@ -35,7 +39,7 @@
         , platform(queue, random)
         , m_settings(settings)
     {
-        m_settings.spread.expectedFleet = static_cast<std::size_t>(settings.nodes);
+        m_settings.spread.expectedFleet = static_cast<std::size_t>(std::max(settings.nodes, settings.plannedNodes));
         for (int z = 0; z < settings.zones; ++z) {
             m_directory.zones["zone-" + std::to_string(z)];
         }
@@ -55,6 +59,7 @@
         Node &node = *m_nodes[index];
         node.paused = false;
         node.inbox.clear();
+        node.member.incarnation = kFirstStartMs + queue.now();
         node.join();
         node.spread = std::make_unique<Spread>(m_settings.spread, node, node, node, node.random, metrics, m_log, node);
         node.spread->start(queue.now());
@@ -309,7 +314,7 @@
         message->header.host = from.member.host;
         message->header.zone = from.member.zone;
         message->header.version = from.spread ? from.spread->version() : 0;
-        message->header.incarnation = 1700000000000;
+        message->header.incarnation = from.member.incarnation;
         message->header.address = from.member.control.ip;
         message->header.controlPort = from.member.control.port;
         Node &target = *m_nodes[to];
