--- /dev/null
+++ b/tests/core_controlnode.cpp
@@ -0,0 +1,208 @@
+#include <catch2/catch.hpp>
+
+#include "fulmarledge/controlnode.h"
+#include "fulmarledge/head.h"
+#include "membershipfakes.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::membershiptest;
+
+namespace {
+
+constexpr TimeMs kTickMs = 50;
+constexpr TimeMs kDelayMs = 2;
+constexpr std::int64_t kWallClockMs = 1700000000000;
+constexpr TimeMs kConvergenceMs = 6000;
+constexpr TimeMs kDrainMs = 3000;
+
+/// Contacts as in FakePlatform, with `head` and the manifests beside them. Watches are never answered, which leaves the
+/// plain reads of `head`.
+class Platform : public FakePlatform
+{
+public:
+    explicit Platform(Scheduler &scheduler)
+        : FakePlatform(scheduler)
+        , m_clock(scheduler)
+    {
+    }
+    void get(std::string_view kind, std::string_view name, StoreCallback callback) override
+    {
+        StoreReply reply;
+        const auto found = m_values.find(std::string(kind) + "/" + std::string(name));
+        reply.status = mode != StoreStatus::Ok ? mode
+            : found == m_values.end()          ? StoreStatus::NotFound
+                                               : StoreStatus::Ok;
+        if (reply.status == StoreStatus::Ok) {
+            reply.objects.push_back({std::string(kind), std::string(name), m_head.version() + 1, found->second});
+        }
+        m_clock.at(m_clock.now + latencyMs, [reply, callback = std::move(callback)] { callback(reply); });
+    }
+    void accept(const std::string &text)
+    {
+        LastReason error;
+        const std::string canonical = Manifest::parse(text, error)->canonicalText();
+        m_values["manifest/" + sha256Hex(canonical)] = canonical;
+        m_head = m_head.accept(sha256Hex(canonical), "test", 0);
+        m_values["head/head"] = m_head.toText();
+    }
+
+private:
+    Scheduler &m_clock;
+    Head m_head;
+    std::map<std::string, std::string> m_values;
+};
+
+/// Hosts "h-0", "h-1", ... of one service in two zones, joined by a fake transport.
+class ControlFleet
+{
+public:
+    struct Node : PeerTransport, ControlListener {
+        Node(ControlFleet &owner, std::size_t number)
+            : fleet(owner)
+            , random(number + 1)
+        {
+        }
+        void send(const SocketAddress &to, const wire::Envelope &message) override
+        {
+            fleet.scheduler.at(fleet.scheduler.now + kDelayMs, [this, to, message] {
+                Node &target = *fleet.nodes.at(std::stoul(to.ip.substr(to.ip.rfind('.') + 1)));
+                if (!target.paused) {
+                    target.control->onMessage(fleet.scheduler.now, message);
+                }
+            });
+        }
+        void onSnapshot(std::shared_ptr<const Snapshot> next) override
+        {
+            CHECK(next->isConsistent());
+            CHECK((snapshot == nullptr || next->version() >= snapshot->version()));
+            snapshot = std::move(next);
+        }
+        void onReadiness(bool isReady, Reason why) override
+        {
+            ready = isReady;
+            reason = why;
+        }
+        ControlFleet &fleet;
+        SeededRandom random;
+        CountingMetrics metrics;
+        NullLog log;
+        std::unique_ptr<ControlNode> control;
+        std::shared_ptr<const Snapshot> snapshot;
+        bool ready = false;
+        bool paused = false;
+        Reason reason = Reason::None;
+    };
+
+    explicit ControlFleet(std::size_t size)
+    {
+        ControlSettings settings;
+        settings.spread.expectedFleet = size;
+        settings.membership.plannedMembers = static_cast<std::int64_t>(size);
+        for (std::size_t i = 0; i < size; ++i) {
+            nodes.push_back(std::make_unique<Node>(*this, i));
+            wire::HostRecord self;
+            self.host = "h-" + std::to_string(i);
+            self.zone = i % 2 == 0 ? "east" : "west";
+            self.address = "127.0.0." + std::to_string(i);
+            self.controlPort = self.hopPort = self.callerPort = self.adminPort = 1;
+            self.state = wire::HostState::Starting;
+            self.liveness = wire::Liveness::Alive;
+            Node &node = *nodes.back();
+            node.control = std::make_unique<ControlNode>(settings, self, node, platform, node.random, node.metrics,
+                                                         node.log, node);
+            node.control->start(0, kWallClockMs);
+            node.control->setLocalState(0, wire::HostState::Serving, "bookings", 12);
+            tick(node);
+        }
+    }
+    void run(TimeMs duration)
+    {
+        scheduler.runUntil(scheduler.now + duration);
+    }
+    void accept(int timeoutMs)
+    {
+        std::string hosts;
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            hosts += (i == 0 ? "\"h-" : ",\"h-") + std::to_string(i) + "\"";
+        }
+        platform.accept(R"({"format":1,"services":[{"name":"bookings","backend_servers":[)" + hosts
+                        + R"(],"timeout_ms":)" + std::to_string(timeoutMs)
+                        + R"(}],"routes":[{"path_prefix":"/bookings","service":"bookings"}]})");
+    }
+    /// Whether every node routes by `version` and holds each host in `state`.
+    bool agrees(Version version, std::size_t host, wire::HostState::type state) const
+    {
+        for (const auto &node : nodes) {
+            if (!node->ready || node->snapshot->version() != version) {
+                return false;
+            }
+            for (const SnapshotBackend &backend : node->snapshot->backends(node->snapshot->findService("bookings"))) {
+                const bool isHost = backend.host == "h-" + std::to_string(host);
+                if (!backend.record || backend.record->state != (isHost ? state : wire::HostState::Serving)) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    Scheduler scheduler;
+    Platform platform{scheduler};
+    std::vector<std::unique_ptr<Node>> nodes;
+
+private:
+    void tick(Node &node)
+    {
+        scheduler.at(scheduler.now + kTickMs, [this, &node] {
+            if (!node.paused) {
+                node.control->onTick(scheduler.now, kWallClockMs + scheduler.now);
+            }
+            tick(node);
+        });
+    }
+};
+
+} // namespace
+
+// Guards against snapshots that miss a manifest or a host's state, and against service before there is a version.
+TEST_CASE("joined control nodes publish each version and each host state")
+{
+    ControlFleet fleet(8);
+    fleet.run(20000);
+    CHECK_FALSE(fleet.nodes[0]->ready);
+    CHECK(fleet.nodes[0]->reason == Reason::NotReady);
+    fleet.accept(1000);
+    fleet.run(kConvergenceMs);
+    CHECK(fleet.agrees(1, 0, wire::HostState::Serving));
+    fleet.accept(2000);
+    fleet.run(kConvergenceMs);
+    CHECK(fleet.agrees(2, 0, wire::HostState::Serving));
+    fleet.nodes[3]->control->setLocalState(fleet.scheduler.now, wire::HostState::Draining, "bookings", 12);
+    fleet.run(kDrainMs);
+    CHECK(fleet.agrees(2, 3, wire::HostState::Draining));
+}
+
+// Guards against a paused process that serves callers by what it knew before the pause, and against the loss of the
+// running version in an outage of the platform.
+TEST_CASE("a paused control node is not ready until it has refreshed, and an outage changes nothing")
+{
+    ControlFleet fleet(8);
+    fleet.accept(1000);
+    fleet.run(30000);
+    REQUIRE(fleet.agrees(1, 0, wire::HostState::Serving));
+    fleet.platform.mode = StoreStatus::Unavailable;
+    ControlFleet::Node &node = *fleet.nodes[2];
+    node.paused = true;
+    fleet.run(30000);
+    CHECK(fleet.nodes[5]->ready);
+    node.paused = false;
+    fleet.run(kTickMs * 2);
+    CHECK_FALSE(node.ready);
+    // The version floor is `platform`, so the node stays out of service as long as the platform.
+    fleet.run(20000);
+    CHECK_FALSE(node.ready);
+    CHECK(node.snapshot->version() == 1);
+    fleet.platform.mode = StoreStatus::Ok;
+    fleet.run(kConvergenceMs);
+    CHECK(fleet.agrees(1, 0, wire::HostState::Serving));
+}
