--- a/src/programs/backendstandin_main.cpp
+++ b/src/programs/backendstandin_main.cpp
@@ -29,6 +29,8 @@
         "time that one request takes, in milliseconds");
     add("cold-start-ms", options::value(&settings.coldStartMs)->default_value(0),
         "time in which it announces \"starting\", in milliseconds");
+    add("linger-ms", options::value(&settings.lingerMs)->default_value(0),
+        "shortest time from the announcement of a drain to the exit, in milliseconds");
     return all;
 }
 
--- a/src/programs/backendstandin_p.h
+++ b/src/programs/backendstandin_p.h
@@ -24,6 +24,7 @@
     int threads = 2;
     std::int64_t serviceMs = 0; ///< time that one request takes
     std::int64_t coldStartMs = 0; ///< time in which it announces "starting"
+    std::int64_t lingerMs = 0; ///< shortest time from the announcement of a drain to its end
     std::size_t maxBodyBytes = 64 * 1024 * 1024;
 };
 
@@ -81,6 +82,8 @@
     std::atomic<std::int64_t> m_held{0}; ///< running and waiting
     std::atomic<std::int64_t> m_peakHeld{0};
     std::atomic<TimeMs> m_lastWork{0};
+    std::atomic<TimeMs> m_drainingSince{0};
+    std::atomic<std::int64_t> m_lastNewWorkMs{-1}; ///< newest request after the drain began, counted from there
     std::atomic<bool> m_draining{false};
     std::atomic<bool> m_drainAnnounced{false};
     std::deque<std::shared_ptr<Job>> m_waiting; ///< for a slot; belongs to the loop's thread
--- a/src/programs/backendstandin_server.cpp
+++ b/src/programs/backendstandin_server.cpp
@@ -119,15 +119,17 @@
 
 void BackendStandin::drain()
 {
-    m_draining = true;
     const TimeMs since = monotonicMs();
+    m_drainingSince = since;
+    m_draining = true;
     if (m_settings.nodeAdmin.port != 0) {
         m_loop.post([this] { announce(); });
     }
     while (true) {
         const TimeMs now = monotonicMs();
         const bool announced = m_drainAnnounced || m_settings.nodeAdmin.port == 0 || now - since > 3 * kAnnounceMs;
-        if (announced && m_held == 0 && now - std::max<TimeMs>(m_lastWork, since) >= kQuietMs) {
+        if (announced && now - since >= m_settings.lingerMs && m_held == 0
+            && now - std::max<TimeMs>(m_lastWork, since) >= kQuietMs) {
             return;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -199,6 +201,8 @@
     json["executed"] = m_executed;
     json["cancelled"] = m_cancelled;
     json["peak_held"] = m_peakHeld.load();
+    json["draining"] = m_draining.load();
+    json["last_new_work_after_drain_ms"] = m_lastNewWorkMs.load();
     return json.dump();
 }
 
@@ -216,7 +220,11 @@
     const std::int64_t held = ++m_held;
     for (std::int64_t peak = m_peakHeld; peak < held && !m_peakHeld.compare_exchange_weak(peak, held);) {
     }
-    m_lastWork = monotonicMs();
+    const TimeMs now = monotonicMs();
+    m_lastWork = now;
+    if (m_draining) {
+        m_lastNewWorkMs = now - m_drainingSince;
+    }
     const Behaviour faults = behaviour();
     auto job = std::make_shared<Job>();
     job->id = fieldValue(call.fields, "Fulmarledge-Request-Id");
--- a/tests/adapter_http.cpp
+++ b/tests/adapter_http.cpp
@@ -4,7 +4,7 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "ioloop.h"
-#include "snapshotholder.h"
+#include "viewholder_p.h"
 
 using namespace fulmarledge;
 
@@ -64,17 +64,18 @@
 }
 
 // Guards against an older version being published after a newer one.
-TEST_CASE("the snapshot holder refuses an older version")
+TEST_CASE("the holder of the routing state refuses an older version")
 {
     LastReason error;
     const auto manifest = Manifest::parse(
         R"({"format":1,"services":[{"name":"a","backend_servers":["h"]}],"routes":[{"path_prefix":"/a","service":"a"}]})",
         error);
     REQUIRE(manifest);
-    SnapshotHolder holder;
-    CHECK(holder.publish(Snapshot::build(3, *manifest, {})));
-    CHECK_FALSE(holder.publish(Snapshot::build(2, *manifest, {})));
-    const SnapshotHolder::Reader reader(holder);
-    REQUIRE(reader.get() != nullptr);
-    CHECK(reader.get()->version() == 3);
+    ViewHolder holder("h", "east", std::make_shared<const SlotGauge>(), {}, {});
+    CHECK(holder.share() == nullptr);
+    CHECK(holder.publish(Snapshot::build(3, *manifest, {}), 0));
+    CHECK_FALSE(holder.publish(Snapshot::build(2, *manifest, {}), 0));
+    CHECK_FALSE(holder.publish(nullptr, 0));
+    REQUIRE(holder.share() != nullptr);
+    CHECK(holder.share()->view->snapshot().version() == 3);
 }
