--- a/tests/adapter_http.cpp
+++ b/tests/adapter_http.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "fulmarledge/slotguard.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "ioloop.h"
