Take a backend server out of service when it refuses connections

Cause: after the loss of half of a service its nodes kept offering the dead backend servers until 3 announcements were missed, and the retries of that time used up the budget. Change: 3 refused connections in a row set the host to starting; the next announcement puts it back.

--- a/src/adapters/localbackend.cpp
+++ b/src/adapters/localbackend.cpp
@@ -40,6 +40,7 @@
 void LocalBackend::set(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
                        wire::HostState::type state, TimeMs now)
 {
+    m_refusedConnections.store(0, std::memory_order_relaxed);
     Lock lock(m_mutex);
     if (m_address != address) {
         m_address = address;
@@ -158,6 +159,11 @@
 
 void LocalBackend::finish(GuardEntryId entry, KeyEntryId key, const wire::HopResponse &response, TimeMs now)
 {
+    if (static_cast<Reason>(response.reason) == Reason::ConnectFailed) {
+        m_refusedConnections.fetch_add(1, std::memory_order_relaxed);
+    } else {
+        m_refusedConnections.store(0, std::memory_order_relaxed);
+    }
     Lock lock(m_mutex);
     finishKey(key, response, now);
     m_guard.finish(entry, response.verdict == wire::Verdict::Answered, now);
--- a/src/adapters/localbackend_p.h
+++ b/src/adapters/localbackend_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -58,6 +59,11 @@
     /// "http://IP:PORT" of the backend server.
     std::string baseUrl();
     std::uint32_t slots();
+    /// Requests in a row whose connection to the backend server failed.
+    int refusedConnections() const
+    {
+        return m_refusedConnections.load(std::memory_order_relaxed);
+    }
     std::shared_ptr<const SlotGauge> gauge() const
     {
         return m_gauge;
@@ -71,6 +77,7 @@
     std::optional<Admission> answerByKey(const wire::HopRequest &request, TimeMs now, KeyEntryId &key);
     void finishKey(KeyEntryId key, const wire::HopResponse &response, TimeMs now);
 
+    std::atomic<int> m_refusedConnections{0};
     std::mutex m_mutex;
     SlotGuard m_guard;
     std::shared_ptr<const SlotGauge> m_gauge;
--- a/src/adapters/requestpath.cpp
+++ b/src/adapters/requestpath.cpp
@@ -179,6 +179,7 @@
     stats.atBackend = state.backend.gauge()->outstanding.load(std::memory_order_relaxed);
     stats.dispatched = state.dispatched.load(std::memory_order_relaxed);
     stats.refused = state.refused.load(std::memory_order_relaxed);
+    stats.refusedConnections = state.backend.refusedConnections();
     stats.lateAnswers = state.counters.lateAnswers.load(std::memory_order_relaxed);
     return stats;
 }
--- a/src/adapters/requestpath.h
+++ b/src/adapters/requestpath.h
@@ -37,6 +37,7 @@
     std::uint64_t atBackend = 0; ///< requests running or waiting in the local slot guard
     std::uint64_t dispatched = 0; ///< attempts sent, to the own backend server or to another node
     std::uint64_t refused = 0; ///< callers' requests that ended with "not run"
+    int refusedConnections = 0; ///< requests in a row whose connection to the own backend server failed
     std::uint64_t lateAnswers = 0; ///< answers of attempts that were already over
 };
 
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -23,6 +23,8 @@
 
 constexpr std::int64_t kTickMs = 50;
 constexpr std::int64_t kDrainPollMs = 20;
+/// A process that has ended refuses every connection; a single failure can be a full backlog.
+constexpr int kRefusedConnections = 3;
 constexpr std::size_t kKeptActivations = 256;
 constexpr std::size_t kMaxAdminBodyBytes = 64 * 1024;
 constexpr long kPlatformConnections = 4;
@@ -126,16 +128,29 @@
             if (m_control.spread().platformReachable()) {
                 m_platformSeenMs = now;
             }
-            if (m_backend && now - m_announcedMs > m_settings.announceTimeoutMs) {
-                m_log->event("backend-silent", "service=" + m_backend->service);
-                m_backend->state = wire::HostState::Starting;
-                applyBackend(now);
-                m_backend.reset();
-            }
+            checkBackend(now);
             scheduleTick();
         });
     }
 
+    /// Takes the backend server out of service when it is silent or refuses connections. Its next announcement puts it
+    /// back.
+    void checkBackend(TimeMs now)
+    {
+        if (!m_backend) {
+            return;
+        }
+        const bool silent = now - m_announcedMs > m_settings.announceTimeoutMs;
+        const bool refuses = m_backend->state == wire::HostState::Serving
+            && m_requests.stats().refusedConnections >= kRefusedConnections;
+        if (silent || refuses) {
+            m_log->event(silent ? "backend-silent" : "backend-refuses", "service=" + m_backend->service);
+            m_backend->state = wire::HostState::Starting;
+            applyBackend(now);
+            m_backend.reset();
+        }
+    }
+
     void onAnnounce(const HttpCall &call)
     {
         LastReason error;
--- a/tests/adapter_requestpath.cpp
+++ b/tests/adapter_requestpath.cpp
@@ -229,6 +229,23 @@
     CHECK(bare.body == "own answer");
 }
 
+// Guards against a dead backend server that stays in service until its announcements are missed.
+TEST_CASE("refused connections to the own backend server are counted until one is answered")
+{
+    TwoNodes nodes;
+    constexpr std::uint16_t kClosedPort = 18519;
+    RequestPath &path = nodes.owner.path();
+    path.setLocalBackend({"127.0.0.1", kClosedPort}, "bookings", 12, wire::HostState::Serving, 0);
+    for (int i = 1; i <= 3; ++i) {
+        CHECK(verdictOf(fetch(request(kCaller1, "POST", "dead-" + std::to_string(i)))) == "not-run");
+        CHECK(path.stats().refusedConnections >= i);
+    }
+    nodes.owner.serve(nodes.backend);
+    CHECK(path.stats().refusedConnections == 0);
+    CHECK(fetch(request(kCaller1, "POST", "alive")).status == 200);
+    CHECK(path.stats().refusedConnections == 0);
+}
+
 // Guards against a node that serves callers before it may, and against a version that goes back.
 TEST_CASE("a node that is not ready refuses callers and still serves other nodes")
 {
