--- a/src/programs/bench_fleet.cpp
+++ b/src/programs/bench_fleet.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "bench_fleetclient_p.h"
+#include "bench_fleetprocess_p.h"
 #include "bench_p.h"
 #include "fulmarledge/submission.h"
 #include "httpstore.h"
@@ -46,11 +47,6 @@
     std::int64_t endMs = 0;
 };
 
-struct ProcessUse {
-    double cpuSeconds = 0;
-    double rssBytes = 0;
-};
-
 class SystemRandom : public RandomSource
 {
 public:
@@ -109,7 +105,7 @@
         announcer.setChurn(m_options.churnMs);
         const auto before = scrapeCounters(m_client, m_hosts);
         const json statsBefore = platformStats();
-        const auto useBefore = processUse();
+        const auto useBefore = processUses(m_hosts, m_options.pidsDir);
         std::ofstream(m_options.pidsDir + "/changes-begun") << wallClockMs() << "\n";
         const TimeMs begin = monotonicMs();
         for (int change = 1; change <= m_options.changes; ++change) {
@@ -124,7 +120,7 @@
         const double seconds = static_cast<double>(monotonicMs() - begin) / 1000;
         const auto after = scrapeCounters(m_client, m_hosts);
         const json statsAfter = platformStats();
-        const auto useAfter = processUse();
+        const auto useAfter = processUses(m_hosts, m_options.pidsDir);
         readFaults();
         collectActivations();
 
@@ -301,53 +297,6 @@
         return measureBytes(m_options.idleMs);
     }
 
-    std::map<std::string, ProcessUse> processUse()
-    {
-        std::map<std::string, ProcessUse> uses;
-        const double ticksPerSecond = static_cast<double>(::sysconf(_SC_CLK_TCK));
-        for (const FleetHost &host : m_hosts) {
-            std::string pid;
-            std::ifstream(m_options.pidsDir + "/" + host.host + ".pid") >> pid;
-            ProcessUse use;
-            std::ifstream stat("/proc/" + pid + "/stat");
-            std::string word;
-            for (int field = 1; stat >> word; ++field) {
-                if (field == 14 || field == 15) {
-                    use.cpuSeconds += std::strtod(word.c_str(), nullptr) / ticksPerSecond;
-                }
-            }
-            std::ifstream statm("/proc/" + pid + "/statm");
-            std::int64_t size = 0;
-            std::int64_t resident = 0;
-            statm >> size >> resident;
-            use.rssBytes = static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE));
-            uses[host.host + "/" + pid] = use;
-        }
-        return uses;
-    }
-
-    static void addProcessUse(json &report, const std::map<std::string, ProcessUse> &before,
-                              const std::map<std::string, ProcessUse> &after, double seconds)
-    {
-        double mostCpu = 0;
-        double sumCpu = 0;
-        double mostRss = 0;
-        std::size_t counted = 0;
-        for (const auto &[process, use] : after) {
-            mostRss = std::max(mostRss, use.rssBytes);
-            const auto earlier = before.find(process);
-            if (earlier != before.end()) {
-                const double share = (use.cpuSeconds - earlier->second.cpuSeconds) / seconds;
-                mostCpu = std::max(mostCpu, share);
-                sumCpu += share;
-                ++counted;
-            }
-        }
-        report["cpu_core_share"]
-            = {{"mean", counted == 0 ? 0 : sumCpu / static_cast<double>(counted)}, {"max", mostCpu}};
-        report["rss_bytes"] = mostRss;
-    }
-
     void readFaults()
     {
         if (m_options.faultsFile.empty()) {
