--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -101,10 +101,11 @@
 private:
     void onSnapshot(std::shared_ptr<const Snapshot> snapshot) override
     {
-        m_snapshot = std::move(snapshot);
-        if (!m_requests.publish(m_snapshot)) {
-            m_log->event("snapshot-refused", "version=" + std::to_string(m_snapshot->version()));
+        if (!m_requests.publish(snapshot)) {
+            m_log->event("snapshot-refused", "version=" + std::to_string(snapshot->version()));
+            return;
         }
+        m_snapshot = std::move(snapshot);
         if (m_activations.empty() || m_activations.back().version != m_snapshot->version()) {
             m_activations.push_back({m_snapshot->version(), wallClockMs()});
             if (m_activations.size() > kKeptActivations) {
--- a/tests/core_controlnode.cpp
+++ b/tests/core_controlnode.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
 
 #include "fulmarledge/controlnode.h"
 #include "fulmarledge/head.h"
@@ -162,8 +163,57 @@
     }
 };
 
+class MockListener : public ControlListener
+{
+public:
+    MAKE_MOCK1(onSnapshot, void(std::shared_ptr<const Snapshot>), override);
+    MAKE_MOCK2(onReadiness, void(bool, Reason), override);
+};
+
+class MockTransport : public PeerTransport
+{
+public:
+    MAKE_MOCK2(send, void(const SocketAddress &, const wire::Envelope &), override);
+};
+
 } // namespace
 
+// Guards against readiness that is announced before the snapshot to serve by, and against messages to nobody.
+TEST_CASE("a lone control node publishes its snapshot before it is ready")
+{
+    Scheduler scheduler;
+    Platform platform(scheduler);
+    platform.accept(
+        R"({"format":1,"services":[{"name":"a","backend_servers":["h"]}],"routes":[{"path_prefix":"/a","service":"a"}]})");
+    ControlSettings settings;
+    settings.spread.expectedFleet = 1;
+    settings.membership.plannedMembers = 1;
+    SeededRandom random(1);
+    CountingMetrics metrics;
+    NullLog log;
+    MockListener listener;
+    MockTransport transport;
+    wire::HostRecord self;
+    self.host = "h";
+    self.zone = "east";
+    self.address = "127.0.0.1";
+    self.controlPort = self.hopPort = self.callerPort = self.adminPort = 1;
+
+    trompeloeil::sequence order;
+    FORBID_CALL(transport, send(trompeloeil::_, trompeloeil::_));
+    REQUIRE_CALL(listener, onReadiness(false, Reason::NotReady)).IN_SEQUENCE(order);
+    REQUIRE_CALL(listener, onSnapshot(trompeloeil::_)).WITH(_1->version() == 1).IN_SEQUENCE(order).TIMES(AT_LEAST(1));
+    REQUIRE_CALL(listener, onReadiness(true, Reason::None)).IN_SEQUENCE(order);
+
+    ControlNode node(settings, self, transport, platform, random, metrics, log, listener);
+    node.start(0, kWallClockMs);
+    for (TimeMs now = kTickMs; now <= kConvergenceMs; now += kTickMs) {
+        scheduler.runUntil(now);
+        node.onTick(now, kWallClockMs + now);
+    }
+    CHECK(node.isReady());
+}
+
 // Guards against snapshots that miss a manifest or a host's state, and against service before there is a version.
 TEST_CASE("joined control nodes publish each version and each host state")
 {
