--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -1495,6 +1495,10 @@
   this->full = val;
 __isset.full = true;
 }
+
+void Content::__set_acceptedMs(const int64_t val) {
+  this->acceptedMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const Content& obj)
 {
   obj.printTo(out);
@@ -1555,6 +1559,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acceptedMs);
+          this->__isset.acceptedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1590,6 +1602,10 @@
     xfer += oprot->writeBinary(this->full);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("acceptedMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->acceptedMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1601,6 +1617,7 @@
   swap(a.digest, b.digest);
   swap(a.delta, b.delta);
   swap(a.full, b.full);
+  swap(a.acceptedMs, b.acceptedMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1609,6 +1626,7 @@
   digest = other54.digest;
   delta = other54.delta;
   full = other54.full;
+  acceptedMs = other54.acceptedMs;
   __isset = other54.__isset;
 }
 Content::Content(Content&& other55) noexcept {
@@ -1616,6 +1634,7 @@
   digest = std::move(other55.digest);
   delta = std::move(other55.delta);
   full = std::move(other55.full);
+  acceptedMs = other55.acceptedMs;
   __isset = other55.__isset;
 }
 Content& Content::operator=(const Content& other56) {
@@ -1623,6 +1642,7 @@
   digest = other56.digest;
   delta = other56.delta;
   full = other56.full;
+  acceptedMs = other56.acceptedMs;
   __isset = other56.__isset;
   return *this;
 }
@@ -1631,6 +1651,7 @@
   digest = std::move(other57.digest);
   delta = std::move(other57.delta);
   full = std::move(other57.full);
+  acceptedMs = other57.acceptedMs;
   __isset = other57.__isset;
   return *this;
 }
@@ -1641,6 +1662,7 @@
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "delta="; (__isset.delta ? (out << to_string(delta)) : (out << "<null>"));
   out << ", " << "full="; (__isset.full ? (out << to_string(full)) : (out << "<null>"));
+  out << ", " << "acceptedMs=" << to_string(acceptedMs);
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -616,11 +616,12 @@
 std::ostream& operator<<(std::ostream& out, const ManifestDelta& obj);
 
 typedef struct _Content__isset {
-  _Content__isset() : version(false), digest(false), delta(false), full(false) {}
+  _Content__isset() : version(false), digest(false), delta(false), full(false), acceptedMs(false) {}
   bool version :1;
   bool digest :1;
   bool delta :1;
   bool full :1;
+  bool acceptedMs :1;
 } _Content__isset;
 
 class Content : public virtual ::apache::thrift::TBase {
@@ -633,7 +634,8 @@
   Content() noexcept
           : version(0),
             digest(),
-            full() {
+            full(),
+            acceptedMs(0) {
   }
 
   virtual ~Content() noexcept;
@@ -641,6 +643,7 @@
   std::string digest;
   ManifestDelta delta;
   std::string full;
+  int64_t acceptedMs;
 
   _Content__isset __isset;
 
@@ -652,6 +655,8 @@
 
   void __set_full(const std::string& val);
 
+  void __set_acceptedMs(const int64_t val);
+
   bool operator == (const Content & rhs) const
   {
     if (!(version == rhs.version))
@@ -666,6 +671,8 @@
       return false;
     else if (__isset.full && !(full == rhs.full))
       return false;
+    if (!(acceptedMs == rhs.acceptedMs))
+      return false;
     return true;
   }
   bool operator != (const Content &rhs) const {
--- a/include/fulmarledge/spread.h
+++ b/include/fulmarledge/spread.h
@@ -95,6 +95,8 @@
     /// Active version, or 0.
     Version version() const;
     const std::string &digest() const;
+    /// When the active version was accepted, by the submitter's clock in milliseconds since 1970, or 0.
+    std::int64_t acceptedMs() const;
     std::shared_ptr<const Manifest> manifest() const;
     /// Newest version held, which may still wait for a second holder or for the version floor.
     Version heldVersion() const;
--- a/src/core/controlnode.cpp
+++ b/src/core/controlnode.cpp
@@ -1,5 +1,7 @@
 #include "fulmarledge/controlnode.h"
 
+#include <algorithm>
+
 #include "fulmarledge/config.h"
 
 namespace fulmarledge {
@@ -111,6 +113,11 @@
     m_manifestChanged = true;
     event("manifest-active", "version=" + std::to_string(version) + " digest=" + digest);
     m_metrics.gauge("manifest-version", "", static_cast<double>(version));
+    if (m_spread.acceptedMs() > 0) {
+        // Clocks of two hosts differ, so the time can come out below zero.
+        const std::int64_t took = std::max<std::int64_t>(m_wallClockMs - m_spread.acceptedMs(), 0);
+        m_metrics.observe("convergence-ms", static_cast<double>(took));
+    }
 }
 
 void ControlNode::updateSnapshot(TimeMs now)
--- a/src/core/heldmanifests.cpp
+++ b/src/core/heldmanifests.cpp
@@ -64,7 +64,7 @@
 {
     // A reversal to a held content needs neither the delta nor the text.
     if (const HeldManifest *same = findDigest(content.digest)) {
-        return HeldManifest{content.version, content.digest, same->manifest};
+        return HeldManifest{content.version, content.digest, same->manifest, content.acceptedMs};
     }
     LastReason reason;
     std::optional<Manifest> manifest;
@@ -109,7 +109,8 @@
         error = {BuildFailure::DigestMismatch, "result has digest " + digest + ", expected " + content.digest};
         return std::nullopt;
     }
-    return HeldManifest{content.version, digest, std::make_shared<const Manifest>(std::move(manifest))};
+    return HeldManifest{content.version, digest, std::make_shared<const Manifest>(std::move(manifest)),
+                        content.acceptedMs};
 }
 
 wire::Content HeldManifests::contentFor(Version base)
@@ -124,6 +125,7 @@
     wire::Content content;
     content.version = target.version;
     content.digest = target.digest;
+    content.acceptedMs = target.acceptedMs;
     if (const HeldManifest *from = find(base)) {
         wire::ManifestDelta delta = from->manifest->deltaTo(*target.manifest);
         delta.fromVersion = base;
--- a/src/core/heldmanifests_p.h
+++ b/src/core/heldmanifests_p.h
@@ -15,6 +15,7 @@
     Version version = 0;
     std::string digest;
     std::shared_ptr<const Manifest> manifest;
+    std::int64_t acceptedMs = 0; ///< milliseconds since 1970 by the submitter's clock, 0 when not known
 };
 
 enum class BuildFailure : std::uint8_t { None, NoBase, DigestMismatch, Invalid };
--- a/src/core/spread.cpp
+++ b/src/core/spread.cpp
@@ -242,6 +242,11 @@
     return m_private->running().digest;
 }
 
+std::int64_t Spread::acceptedMs() const
+{
+    return m_private->running().acceptedMs;
+}
+
 std::shared_ptr<const Manifest> Spread::manifest() const
 {
     return m_private->running().manifest;
--- a/src/core/spreadfloor.cpp
+++ b/src/core/spreadfloor.cpp
@@ -115,7 +115,7 @@
         return;
     }
     if (const HeldManifest *same = m_held.findDigest(target.digest)) {
-        hold({target.version, target.digest, same->manifest}, Source::Platform);
+        hold({target.version, target.digest, same->manifest, target.acceptedMs}, Source::Platform);
         return;
     }
     if (m_reader.wanted() != target.version) {
@@ -133,6 +133,9 @@
     content.version = version;
     content.digest = digest;
     content.__set_full(text);
+    if (const Acceptance *acceptance = m_head.find(version)) {
+        content.acceptedMs = acceptance->acceptedMs;
+    }
     if (accept(content, Source::Platform) == Outcome::Held) {
         return;
     }
--- a/tests/core_controlnode.cpp
+++ b/tests/core_controlnode.cpp
@@ -43,7 +43,7 @@
         LastReason error;
         const std::string canonical = Manifest::parse(text, error)->canonicalText();
         m_values["manifest/" + sha256Hex(canonical)] = canonical;
-        m_head = m_head.accept(sha256Hex(canonical), "test", 0);
+        m_head = m_head.accept(sha256Hex(canonical), "test", kWallClockMs);
         m_values["head/head"] = m_head.toText();
     }
 
@@ -227,6 +227,10 @@
     fleet.accept(2000);
     fleet.run(kConvergenceMs);
     CHECK(fleet.agrees(2, 0, wire::HostState::Serving));
+    for (const auto &node : fleet.nodes) {
+        // The convergence histogram needs the time of the acceptance on every node, watcher or not.
+        CHECK(node->control->spread().acceptedMs() == kWallClockMs);
+    }
     fleet.nodes[3]->control->setLocalState(fleet.scheduler.now, wire::HostState::Draining, "bookings", 12);
     fleet.run(kDrainMs);
     CHECK(fleet.agrees(2, 3, wire::HostState::Draining));
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -52,6 +52,8 @@
   2: string digest
   3: optional ManifestDelta delta
   4: optional binary full
+  // Acceptance by the submitter's clock, in milliseconds since 1970; 0 when not known.
+  5: i64 acceptedMs
 }
 
 // The receiver relays to the members whose hash is in [intervalBegin, intervalEnd], both unsigned, and to none when
