--- a/include/fulmarledge/controlnode.h
+++ b/include/fulmarledge/controlnode.h
@@ -89,8 +89,6 @@
     MetricsSink &m_metrics;
     EventLog &m_log;
     ControlListener &m_listener;
-    Membership m_membership;
-    Spread m_spread;
     std::shared_ptr<const Manifest> m_manifest;
     Version m_version = 0;
     bool m_manifestChanged = false;
@@ -101,6 +99,8 @@
     bool m_ready = false;
     bool m_readinessKnown = false;
     std::deque<ControlEvent> m_events;
+    Membership m_membership;
+    Spread m_spread;
 };
 
 } // namespace fulmarledge
--- a/src/core/controlnode.cpp
+++ b/src/core/controlnode.cpp
@@ -151,11 +151,15 @@
 
 void ControlNode::event(std::string_view name, std::string_view detail)
 {
-    m_events.push_back({m_wallClockMs, std::string(name) + " " + std::string(detail)});
+    std::string text(detail);
+    if (text.find("version=") == std::string::npos) {
+        text += (text.empty() ? "version=" : " version=") + std::to_string(m_version);
+    }
+    m_events.push_back({m_wallClockMs, std::string(name) + " " + text});
     if (m_events.size() > kKeptEvents) {
         m_events.pop_front();
     }
-    m_log.event(name, detail);
+    m_log.event(name, text);
 }
 
 } // namespace fulmarledge
--- a/src/programs/backendstandin_main.cpp
+++ b/src/programs/backendstandin_main.cpp
@@ -16,6 +16,7 @@
     options::options_description all("Options of fulmarledge-backend-standin");
     auto add = all.add_options();
     add("help", "print this text");
+    add("version", "print the version");
     add("address", options::value(&settings.address.ip)->default_value("127.0.0.1"), "IP address to listen on");
     add("port", options::value(&settings.address.port)->required(), "port to listen on");
     add("node-address", options::value(&settings.nodeAdmin.ip)->default_value("127.0.0.1"),
@@ -47,6 +48,10 @@
             std::cout << all;
             return 0;
         }
+        if (values.count("version") > 0) {
+            std::cout << "fulmarledge-backend-standin " FULMARLEDGE_VERSION "\n";
+            return 0;
+        }
         options::notify(values);
     } catch (const options::error &error) {
         std::cerr << error.what() << "\n" << all;
--- a/src/programs/bench_main.cpp
+++ b/src/programs/bench_main.cpp
@@ -12,6 +12,15 @@
     if (command == "fleet") {
         return fulmarledge::benchFleet(argc - 1, argv + 1);
     }
-    std::cerr << "usage: fulmarledge-bench requests|fleet [OPTIONS]\n";
+    if (command == "--version") {
+        std::cout << "fulmarledge-bench " FULMARLEDGE_VERSION "\n";
+        return 0;
+    }
+    constexpr std::string_view kUsage = "usage: fulmarledge-bench requests|fleet [OPTIONS]; each takes --help\n";
+    if (command == "--help") {
+        std::cout << kUsage;
+        return 0;
+    }
+    std::cerr << kUsage;
     return 2;
 }
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -94,7 +94,7 @@
         m_loop.run();
         m_admin->stop();
         m_requests.stop();
-        m_log->event("stopped", "version=" + std::to_string(m_control.spread().version()));
+        logEvent("stopped", "");
         return 0;
     }
 
@@ -102,7 +102,7 @@
     void onSnapshot(std::shared_ptr<const Snapshot> snapshot) override
     {
         if (!m_requests.publish(snapshot)) {
-            m_log->event("snapshot-refused", "version=" + std::to_string(snapshot->version()));
+            logEvent("snapshot-refused", "refused=" + std::to_string(snapshot->version()));
             return;
         }
         m_snapshot = std::move(snapshot);
@@ -114,6 +114,13 @@
         }
     }
 
+    /// Logs a change of state with the running version.
+    void logEvent(std::string_view name, const std::string &detail)
+    {
+        m_log->event(name,
+                     detail + (detail.empty() ? "" : " ") + "version=" + std::to_string(m_control.spread().version()));
+    }
+
     void onReadiness(bool ready, Reason reason) override
     {
         m_ready = ready;
@@ -145,7 +152,7 @@
         const bool refuses = m_backend->state == wire::HostState::Serving
             && m_requests.stats().refusedConnections >= kRefusedConnections;
         if (silent || refuses) {
-            m_log->event(silent ? "backend-silent" : "backend-refuses", "service=" + m_backend->service);
+            logEvent(silent ? "backend-silent" : "backend-refuses", "service=" + m_backend->service);
             m_backend->state = wire::HostState::Starting;
             applyBackend(now);
             m_backend.reset();
@@ -167,7 +174,7 @@
             || m_backend->slots != announcement->slots;
         m_backend = *announcement;
         if (changed) {
-            m_log->event("backend-" + std::string(stateName(announcement->state)), "service=" + announcement->service);
+            logEvent("backend-" + std::string(stateName(announcement->state)), "service=" + announcement->service);
         }
         applyBackend(m_announcedMs);
         call.responder->send(204, {}, "");
@@ -239,7 +246,7 @@
             return;
         }
         m_leaving = true;
-        m_log->event("draining", "planned stop");
+        logEvent("draining", "planned stop");
         m_requests.setReady(false, Reason::Draining);
         m_control.setLocalState(monotonicMs(), wire::HostState::Draining, m_backend ? m_backend->service : "",
                                 m_backend ? m_backend->slots : 0);
