--- a/tests/adapter_http.cpp
+++ b/tests/adapter_http.cpp
@@ -3,6 +3,7 @@
 
 #include "fulmarledge/slotguard.h"
 #include "httpclient.h"
+#include "httpfetch.h"
 #include "httpserver.h"
 #include "ioloop.h"
 #include "viewholder_p.h"
@@ -14,20 +15,6 @@
 constexpr std::uint16_t kServerPort = 18431;
 constexpr std::uint16_t kClosedPort = 18432;
 
-/// Sends one request on a loop of its own and waits for the result.
-HttpResult fetch(const HttpRequest &request)
-{
-    IoLoop loop;
-    HttpClient client(loop, 4);
-    HttpResult result;
-    client.send(request, [&](HttpResult got) {
-        result = std::move(got);
-        loop.stop();
-    });
-    loop.run();
-    return result;
-}
-
 HttpRequest requestTo(std::uint16_t port, std::string method)
 {
     HttpRequest request;
--- a/tests/datapathfixture.h
+++ b/tests/datapathfixture.h
@@ -15,6 +15,7 @@
 #include "requestpath.h"
 
 #include "httpclient.h"
+#include "httpfetch.h"
 #include "httpserver.h"
 
 namespace datapathtest {
@@ -66,20 +67,6 @@
     int m_fd;
 };
 
-/// Sends one request on a loop of its own and waits for the result.
-inline HttpResult fetch(const HttpRequest &request)
-{
-    IoLoop loop;
-    HttpClient client(loop, 1);
-    HttpResult result;
-    client.send(request, [&](HttpResult got) {
-        result = std::move(got);
-        loop.stop();
-    });
-    loop.run();
-    return result;
-}
-
 inline HttpRequest request(std::uint16_t port, std::string method, const std::string &id, HttpFields fields = {})
 {
     HttpRequest made;
--- /dev/null
+++ b/tests/httpfetch.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "httpclient.h"
+#include "ioloop.h"
+
+namespace fulmarledge {
+
+/// Sends one request on a loop of its own and waits for the result.
+inline HttpResult fetch(const HttpRequest &request)
+{
+    IoLoop loop;
+    HttpClient client(loop, 1);
+    HttpResult result;
+    client.send(request, [&](HttpResult got) {
+        result = std::move(got);
+        loop.stop();
+    });
+    loop.run();
+    return result;
+}
+
+} // namespace fulmarledge
