--- a/src/adapters/httpstore.cpp
+++ b/src/adapters/httpstore.cpp
@@ -168,11 +168,15 @@
     m_client.send(std::move(request),
                   [&metrics = m_metrics, operation, objectKind = std::string(kind), objectName = std::string(name),
                    done = std::move(callback)](HttpResult result) {
+                      metrics.count("platform-bytes-in", objectKind, static_cast<double>(result.body.size()));
                       const StoreReply reply = replyOf(operation, objectKind, objectName, std::move(result));
                       std::string label(operationName(operation));
                       label += ' ';
                       label += storeStatusName(reply.status);
                       metrics.count("platform-calls", label, 1);
+                      if (reply.status == StoreStatus::Ok) {
+                          metrics.count("platform-objects", objectKind, static_cast<double>(reply.objects.size()));
+                      }
                       done(reply);
                   });
 }
--- a/src/adapters/ioloop.cpp
+++ b/src/adapters/ioloop.cpp
@@ -69,6 +69,7 @@
         runPosted();
         runTimers();
     }
+    m_stopping.store(false, std::memory_order_release);
 }
 
 void IoLoop::stop()
--- a/src/adapters/ioloop.h
+++ b/src/adapters/ioloop.h
@@ -43,7 +43,7 @@
     IoLoop(const IoLoop &) = delete;
     IoLoop &operator=(const IoLoop &) = delete;
 
-    /// Runs until `stop`.
+    /// Runs until `stop`. May be called again.
     void run();
     /// Thread-safe.
     void stop();
--- /dev/null
+++ b/src/programs/bench_fleet.cpp
@@ -0,0 +1,497 @@
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <unistd.h>
+
+#include "bench_fleetclient_p.h"
+#include "bench_p.h"
+#include "fulmarledge/submission.h"
+#include "httpstore.h"
+#include "metrics.h"
+#include "settings.h"
+
+namespace fulmarledge {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kConvergenceBoundMs = 6000;
+constexpr std::int64_t kSettleMs = 60000;
+constexpr std::int64_t kPollMs = 200;
+constexpr std::int64_t kTickMs = 5;
+
+struct Options {
+    std::string hostsFile;
+    std::string pidsDir;
+    std::string faultsFile;
+    SocketAddress platform;
+    int changes = 20;
+    TimeMs intervalMs = 1000;
+    TimeMs idleMs = 10000;
+    TimeMs churnMs = 0;
+};
+
+/// A time in which a host was stopped, frozen or cut off, written by the launching script.
+struct FaultWindow {
+    std::string host;
+    std::int64_t beginMs = 0;
+    std::int64_t endMs = 0;
+};
+
+struct ProcessUse {
+    double cpuSeconds = 0;
+    double rssBytes = 0;
+};
+
+class SystemRandom : public RandomSource
+{
+public:
+    std::uint64_t below(std::uint64_t bound) override
+    {
+        return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(m_engine);
+    }
+
+private:
+    std::mt19937_64 m_engine{std::random_device{}()};
+};
+
+std::int64_t percentile(std::vector<std::int64_t> values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+    return values[index];
+}
+
+double sumOf(const CounterSums &sums, std::string_view name, std::initializer_list<std::string_view> kinds)
+{
+    double total = 0;
+    const auto found = sums.find(name);
+    if (found == sums.end()) {
+        return 0;
+    }
+    for (const auto &[kind, value] : found->second) {
+        if (kinds.size() == 0 || std::find(kinds.begin(), kinds.end(), kind) != kinds.end()) {
+            total += value;
+        }
+    }
+    return total;
+}
+
+/// Measures one fleet of running nodes.
+class FleetBench
+{
+public:
+    explicit FleetBench(Options options)
+        : m_options(std::move(options))
+        , m_hosts(readFleetHosts(m_options.hostsFile))
+        , m_metrics("bench", "bench")
+        , m_store(m_client.http(), m_metrics, {m_options.platform})
+    {
+    }
+
+    json run()
+    {
+        const Announcer announcer(m_hosts, m_options.churnMs);
+        submit(0);
+        waitForVersion(kSettleMs);
+        const auto idle = measureIdle();
+        const auto before = scrapeCounters(m_client, m_hosts);
+        const json statsBefore = platformStats();
+        const auto useBefore = processUse();
+        const TimeMs begin = monotonicMs();
+        for (int change = 1; change <= m_options.changes; ++change) {
+            const TimeMs next = begin + change * m_options.intervalMs;
+            submit(change);
+            while (monotonicMs() < next) {
+                pollVersions();
+                pause(kPollMs);
+            }
+        }
+        const bool settled = waitForVersion(kSettleMs);
+        const double seconds = static_cast<double>(monotonicMs() - begin) / 1000;
+        const auto after = scrapeCounters(m_client, m_hosts);
+        const json statsAfter = platformStats();
+        const auto useAfter = processUse();
+        readFaults();
+        collectActivations();
+
+        json report = reportOf(idle, before, after, statsBefore, statsAfter);
+        addProcessUse(report, useBefore, useAfter, seconds);
+        if (!settled) {
+            violate("not every node runs version " + std::to_string(m_head) + " within " + std::to_string(kSettleMs)
+                    + " ms");
+        }
+        report["nodes"] = m_hosts.size();
+        report["changes"] = m_accepted.size();
+        report["refused_submissions"] = m_refused;
+        report["drained_backend_servers"] = announcer.drains();
+        report["invariant_violations"] = m_violations.size();
+        report["violations"] = m_violations;
+        return report;
+    }
+
+private:
+    std::string manifestText(int change) const
+    {
+        std::map<std::string, json> services;
+        for (const FleetHost &host : m_hosts) {
+            services[host.service]["backend_servers"].push_back(host.host);
+        }
+        json list = json::array();
+        json routes = json::array();
+        int index = 0;
+        for (auto &[name, service] : services) {
+            service["name"] = name;
+            // Each change alters one service.
+            service["timeout_ms"] = 2000 + (index == change % static_cast<int>(services.size()) ? change : 0);
+            list.push_back(service);
+            routes.push_back({{"path_prefix", "/" + name}, {"service", name}});
+            ++index;
+        }
+        return json{{"format", 1}, {"services", list}, {"routes", routes}}.dump();
+    }
+
+    void submit(int change)
+    {
+        SubmissionRequest request;
+        request.text = manifestText(change);
+        request.submission = "bench-" + std::to_string(::getpid()) + "-" + std::to_string(change);
+        request.acceptedMs = wallClockMs();
+        SubmissionResult result;
+        std::int64_t acceptedMs = 0;
+        bool done = false;
+        Submission submission(m_store, m_random, {}, request, [&](const SubmissionResult &got) {
+            result = got;
+            acceptedMs = wallClockMs();
+            done = true;
+        });
+        submission.start(monotonicMs());
+        while (!done) {
+            pause(kTickMs);
+            submission.tick(monotonicMs());
+        }
+        if (result.outcome == SubmissionOutcome::Accepted) {
+            m_head = result.version;
+            m_accepted[result.version] = acceptedMs;
+        } else {
+            ++m_refused;
+        }
+    }
+
+    void pause(std::int64_t ms)
+    {
+        m_client.loop().runAfter(ms, [this] { m_client.loop().stop(); });
+        m_client.loop().run();
+    }
+
+    std::vector<json> statuses()
+    {
+        std::vector<HttpRequest> requests;
+        for (const FleetHost &host : m_hosts) {
+            requests.push_back(adminRequest(host, "GET", "/v1/status"));
+        }
+        std::vector<json> documents;
+        for (const HttpResult &result : m_client.fetchAll(requests)) {
+            documents.push_back(result.status == 200 ? json::parse(result.body, nullptr, false) : json());
+        }
+        return documents;
+    }
+
+    /// Checks that no host ever reports a lower version than before, restarts included.
+    std::vector<json> pollVersions()
+    {
+        std::vector<json> documents = statuses();
+        for (std::size_t i = 0; i < documents.size(); ++i) {
+            if (!documents[i].is_object()) {
+                continue;
+            }
+            const Version version = documents[i].value("version", Version{0});
+            Version &highest = m_highest[m_hosts[i].host];
+            const bool ready = documents[i].value("ready", false);
+            // A process that serves no caller yet runs no version.
+            if (ready && version < highest) {
+                violate(m_hosts[i].host + " runs version " + std::to_string(version) + " after "
+                        + std::to_string(highest));
+            }
+            highest = std::max(highest, version);
+            if (version > m_head + 1) {
+                violate(m_hosts[i].host + " runs version " + std::to_string(version) + ", which was never accepted");
+            }
+        }
+        return documents;
+    }
+
+    bool waitForVersion(std::int64_t limitMs)
+    {
+        const TimeMs deadline = monotonicMs() + limitMs;
+        while (monotonicMs() < deadline) {
+            const auto documents = pollVersions();
+            const bool all = std::all_of(documents.begin(), documents.end(), [&](const json &document) {
+                return document.is_object() && document.value("version", Version{0}) == m_head
+                    && document.value("ready", false);
+            });
+            if (all) {
+                return true;
+            }
+            pause(kPollMs);
+        }
+        return false;
+    }
+
+    json platformStats()
+    {
+        HttpRequest request;
+        request.method = "GET";
+        request.url
+            = "http://" + m_options.platform.ip + ":" + std::to_string(m_options.platform.port) + "/standin/stats";
+        const auto results = m_client.fetchAll({request});
+        return json::parse(results.front().body, nullptr, false);
+    }
+
+    /// Control bytes per second and node, both directions, without changes.
+    double measureIdle()
+    {
+        pause(3000);
+        const auto begin = scrapeCounters(m_client, m_hosts);
+        const TimeMs start = monotonicMs();
+        pause(m_options.idleMs);
+        const auto end = scrapeCounters(m_client, m_hosts);
+        const double seconds = static_cast<double>(monotonicMs() - start) / 1000;
+        double bytes = 0;
+        for (const char *name : {"fulmarledge_control_bytes_in_total", "fulmarledge_control_bytes_out_total",
+                                 "fulmarledge_platform_bytes_in_total"}) {
+            bytes += sumOf(end, name, {}) - sumOf(begin, name, {});
+        }
+        return bytes / seconds / static_cast<double>(m_hosts.size());
+    }
+
+    std::map<std::string, ProcessUse> processUse()
+    {
+        std::map<std::string, ProcessUse> uses;
+        const double ticksPerSecond = static_cast<double>(::sysconf(_SC_CLK_TCK));
+        for (const FleetHost &host : m_hosts) {
+            std::string pid;
+            std::ifstream(m_options.pidsDir + "/" + host.host + ".pid") >> pid;
+            ProcessUse use;
+            std::ifstream stat("/proc/" + pid + "/stat");
+            std::string word;
+            for (int field = 1; stat >> word; ++field) {
+                if (field == 14 || field == 15) {
+                    use.cpuSeconds += std::strtod(word.c_str(), nullptr) / ticksPerSecond;
+                }
+            }
+            std::ifstream statm("/proc/" + pid + "/statm");
+            std::int64_t size = 0;
+            std::int64_t resident = 0;
+            statm >> size >> resident;
+            use.rssBytes = static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE));
+            uses[host.host + "/" + pid] = use;
+        }
+        return uses;
+    }
+
+    static void addProcessUse(json &report, const std::map<std::string, ProcessUse> &before,
+                              const std::map<std::string, ProcessUse> &after, double seconds)
+    {
+        double mostCpu = 0;
+        double sumCpu = 0;
+        double mostRss = 0;
+        std::size_t counted = 0;
+        for (const auto &[process, use] : after) {
+            mostRss = std::max(mostRss, use.rssBytes);
+            const auto earlier = before.find(process);
+            if (earlier != before.end()) {
+                const double share = (use.cpuSeconds - earlier->second.cpuSeconds) / seconds;
+                mostCpu = std::max(mostCpu, share);
+                sumCpu += share;
+                ++counted;
+            }
+        }
+        report["cpu_core_share"]
+            = {{"mean", counted == 0 ? 0 : sumCpu / static_cast<double>(counted)}, {"max", mostCpu}};
+        report["rss_bytes"] = mostRss;
+    }
+
+    void readFaults()
+    {
+        if (m_options.faultsFile.empty()) {
+            return;
+        }
+        std::ifstream file(m_options.faultsFile);
+        FaultWindow window;
+        while (file >> window.host >> window.beginMs >> window.endMs) {
+            m_faults.push_back(window);
+        }
+    }
+
+    /// Time from which a host can be expected to run a version: its acceptance, the host's start, or the end of a
+    /// fault.
+    std::int64_t expectedFrom(const std::string &host, std::int64_t acceptedMs, std::int64_t startedMs) const
+    {
+        std::int64_t from = std::max(acceptedMs, startedMs);
+        for (const FaultWindow &window : m_faults) {
+            // A fault that begins within the bound after the acceptance can still hold the change up.
+            if ((window.host == host || window.host == "all") && window.beginMs <= acceptedMs + kConvergenceBoundMs
+                && window.endMs > from) {
+                from = window.endMs;
+            }
+        }
+        return from;
+    }
+
+    void collectActivations()
+    {
+        std::map<Version, std::int64_t> slowest;
+        const auto documents = statuses();
+        for (std::size_t i = 0; i < documents.size(); ++i) {
+            if (!documents[i].is_object()) {
+                violate(m_hosts[i].host + " does not answer");
+                continue;
+            }
+            Version previous = 0;
+            const json activations = documents[i].value("activations", json::array());
+            for (const json &activation : activations) {
+                const Version version = activation.value("version", Version{0});
+                if (version <= previous) {
+                    violate(m_hosts[i].host + " activated version " + std::to_string(version) + " after "
+                            + std::to_string(previous));
+                }
+                previous = version;
+            }
+            for (const auto &[version, acceptedMs] : m_accepted) {
+                const auto first = std::find_if(activations.begin(), activations.end(),
+                                                [&, accepted = version](const json &activation) {
+                                                    return activation.value("version", Version{0}) >= accepted;
+                                                });
+                if (first == activations.end()) {
+                    continue;
+                }
+                const std::int64_t from
+                    = expectedFrom(m_hosts[i].host, acceptedMs, documents[i].value("started_ms", std::int64_t{0}));
+                const std::int64_t took = std::max<std::int64_t>(first->value("time_ms", std::int64_t{0}) - from, 0);
+                slowest[version] = std::max(slowest[version], took);
+            }
+        }
+        for (const auto &[version, took] : slowest) {
+            if (version > 1) {
+                m_convergence.push_back(took);
+            }
+            if (took > kConvergenceBoundMs) {
+                violate("version " + std::to_string(version) + " took " + std::to_string(took) + " ms");
+            }
+        }
+    }
+
+    json reportOf(double idle, const CounterSums &before, const CounterSums &after, const json &statsBefore,
+                  const json &statsAfter) const
+    {
+        const auto delta = [&](std::string_view name, std::initializer_list<std::string_view> kinds) {
+            return sumOf(after, name, kinds) - sumOf(before, name, kinds);
+        };
+        const double perChange
+            = static_cast<double>(m_hosts.size()) * std::max(1.0, static_cast<double>(m_accepted.size()) - 1);
+        const double bytes = delta("fulmarledge_control_bytes_in_total", {"push", "push-ack", "pull", "content"})
+            + delta("fulmarledge_platform_bytes_in_total", {"manifest", "head"});
+        const double copies = delta("fulmarledge_control_messages_in_total", {"push", "content"})
+            + delta("fulmarledge_platform_objects_total", {"manifest"});
+        json report;
+        report["convergence_ms"] = {{"p50", percentile(m_convergence, 0.5)},
+                                    {"p99", percentile(m_convergence, 0.99)},
+                                    {"max", percentile(m_convergence, 1)}};
+        report["control_bytes_per_change_per_node"] = bytes / perChange;
+        report["copies_per_change"] = copies / perChange;
+        report["idle_control_bytes_per_second_per_node"] = idle;
+        report["platform_reads"] = callsOf(statsAfter, true) - callsOf(statsBefore, true);
+        report["platform_writes"] = callsOf(statsAfter, false) - callsOf(statsBefore, false);
+        report["waiting_watches"] = statsAfter.contains("watches") ? statsAfter["watches"] : json();
+        report["platform_peak_reads_per_second"] = statsAfter.value("highest_reads_per_s", 0);
+        report["platform_peak_writes_per_second"] = statsAfter.value("highest_writes_per_s", 0);
+        return report;
+    }
+
+    /// Calls that the stand-in counted, by direction.
+    static std::int64_t callsOf(const json &stats, bool reads)
+    {
+        std::int64_t total = 0;
+        if (!stats.is_object() || !stats.contains("calls")) {
+            return 0;
+        }
+        for (const auto &[operation, outcomes] : stats["calls"].items()) {
+            const bool isRead = operation == "get" || operation == "list" || operation == "watch";
+            if (isRead != reads) {
+                continue;
+            }
+            for (const auto &[outcome, count] : outcomes.items()) {
+                total += count.get<std::int64_t>();
+            }
+        }
+        return total;
+    }
+
+    void violate(std::string text)
+    {
+        if (std::find(m_violations.begin(), m_violations.end(), text) == m_violations.end()) {
+            m_violations.push_back(std::move(text));
+        }
+    }
+
+    Options m_options;
+    std::vector<FleetHost> m_hosts;
+    FleetClient m_client;
+    Metrics m_metrics;
+    HttpStore m_store;
+    SystemRandom m_random;
+    Version m_head = 0;
+    int m_refused = 0;
+    std::map<Version, std::int64_t> m_accepted; ///< wall clock of each acceptance
+    std::map<std::string, Version> m_highest;
+    std::vector<FaultWindow> m_faults;
+    std::vector<std::int64_t> m_convergence;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace
+
+int benchFleet(int argc, char **argv)
+{
+    Options options;
+    SettingsSchema schema("fulmarledge-bench fleet");
+    schema.addText("hosts-file", "file with lines of HOST ZONE ADDRESS SERVICE", std::nullopt, options.hostsFile);
+    schema.addText("pids-dir", "folder with HOST.pid files", std::nullopt, options.pidsDir);
+    schema.addText("faults-file", "file with lines of HOST BEGIN_MS END_MS", "", options.faultsFile);
+    schema.addAddress("platform", "IP:PORT of the platform stand-in", std::nullopt, options.platform);
+    schema.addInteger("changes", "manifests to submit", "20", 1, 250, options.changes);
+    schema.addDuration("interval", "time between changes", "1s", 10, 600000, options.intervalMs);
+    schema.addDuration("idle", "time measured without changes", "10s", 0, 600000, options.idleMs);
+    schema.addDuration("churn", "time between drained backend servers, 0ms for none", "0ms", 0, 600000,
+                       options.churnMs);
+    LastReason error;
+    switch (schema.read(std::span<const char *const>(argv, static_cast<std::size_t>(argc)), error)) {
+    case SettingsSchema::Outcome::Help:
+        std::cout << schema.help();
+        return 0;
+    case SettingsSchema::Outcome::ShowVersion:
+        std::cout << "fulmarledge-bench " FULMARLEDGE_VERSION "\n";
+        return 0;
+    case SettingsSchema::Outcome::Bad:
+        std::cerr << "fulmarledge-bench fleet: " << error.text() << "\n";
+        return 2;
+    case SettingsSchema::Outcome::CheckOnly:
+        return 0;
+    case SettingsSchema::Outcome::Run:
+        break;
+    }
+    FleetBench bench(options);
+    const json report = bench.run();
+    std::cout << report.dump(2) << "\n";
+    return report["invariant_violations"] == 0 ? 0 : 1;
+}
+
+} // namespace fulmarledge
--- /dev/null
+++ b/src/programs/bench_fleetclient_p.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "fulmarledge/types.h"
+#include "httpclient.h"
+#include "ioloop.h"
+
+namespace fulmarledge {
+
+/// One host of the measured fleet, as listed by the launching script.
+struct FleetHost {
+    std::string host;
+    std::string zone;
+    std::string address;
+    std::string service;
+};
+
+/// Reads lines of "HOST ZONE ADDRESS SERVICE".
+std::vector<FleetHost> readFleetHosts(const std::string &path);
+
+/// Calls to many admin ports with bounded concurrency. Blocks the calling thread.
+class FleetClient
+{
+public:
+    FleetClient();
+
+    /// One result per request, in the same order.
+    std::vector<HttpResult> fetchAll(const std::vector<HttpRequest> &requests);
+    IoLoop &loop()
+    {
+        return m_loop;
+    }
+    HttpClient &http()
+    {
+        return m_http;
+    }
+
+private:
+    IoLoop m_loop;
+    HttpClient m_http;
+};
+
+HttpRequest adminRequest(const FleetHost &host, std::string method, std::string_view path);
+
+/// Sums of counters over a fleet, by metric name and the value of the label "kind".
+using CounterSums = std::map<std::string, std::map<std::string, double>, std::less<>>;
+CounterSums scrapeCounters(FleetClient &client, const std::vector<FleetHost> &hosts);
+
+/// Announces the backend server of every host once a second in place of real backend servers, and drains one of them
+/// now and then.
+class Announcer
+{
+public:
+    /// @param churnMs time from one drained backend server to the next; 0 for none
+    Announcer(std::vector<FleetHost> hosts, std::int64_t churnMs);
+    ~Announcer();
+    Announcer(const Announcer &) = delete;
+    Announcer &operator=(const Announcer &) = delete;
+
+    std::int64_t drains() const
+    {
+        return m_drains.load();
+    }
+
+private:
+    void run();
+
+    std::vector<FleetHost> m_hosts;
+    std::int64_t m_churnMs;
+    std::atomic<std::int64_t> m_drains{0};
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread;
+};
+
+} // namespace fulmarledge
--- a/src/programs/bench_main.cpp
+++ b/src/programs/bench_main.cpp
@@ -9,6 +9,9 @@
     if (command == "requests") {
         return fulmarledge::benchRequests(argc - 1, argv + 1);
     }
-    std::cerr << "usage: fulmarledge-bench requests [OPTIONS]\n";
+    if (command == "fleet") {
+        return fulmarledge::benchFleet(argc - 1, argv + 1);
+    }
+    std::cerr << "usage: fulmarledge-bench requests|fleet [OPTIONS]\n";
     return 2;
 }
--- a/src/programs/node_admin.cpp
+++ b/src/programs/node_admin.cpp
@@ -37,6 +37,7 @@
     const Spread &spread = report.control.spread();
     json document{{"host", report.host},
                   {"zone", report.zone},
+                  {"started_ms", report.startedMs},
                   {"version", spread.version()},
                   {"digest", spread.digest()},
                   {"held_version", spread.heldVersion()},
--- a/src/programs/node_admin.h
+++ b/src/programs/node_admin.h
@@ -17,6 +17,7 @@
     std::string host;
     std::string zone;
     TimeMs now = 0;
+    std::int64_t startedMs = 0; ///< milliseconds since 1970
     std::int64_t platformAgeMs = 0; ///< time since the platform last answered
 };
 
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -169,13 +169,9 @@
             call.responder->send(405, {{"Allow", "GET"}}, "");
             return;
         }
-        const NodeReport report{m_control,
-                                m_snapshot.get(),
-                                m_backend,
-                                m_settings.host,
-                                m_settings.zone,
-                                monotonicMs(),
-                                monotonicMs() - m_platformSeenMs};
+        const TimeMs now = monotonicMs();
+        const NodeReport report{m_control,   m_snapshot.get(),      m_backend, m_settings.host, m_settings.zone, now,
+                                m_startedMs, now - m_platformSeenMs};
         const HttpFields json{{"Content-Type", "application/json"}};
         static constexpr std::string_view kExplain = "/v1/explain/";
         if (call.path == "/v1/status") {
@@ -254,6 +250,7 @@
     Socket m_signals;
     std::shared_ptr<const Snapshot> m_snapshot;
     std::optional<Announcement> m_backend;
+    const std::int64_t m_startedMs = wallClockMs();
     TimeMs m_announcedMs = 0;
     TimeMs m_platformSeenMs = monotonicMs();
     bool m_ready = false;
--- a/tests/core_spread_sweep.cpp
+++ b/tests/core_spread_sweep.cpp
@@ -4,7 +4,7 @@
 #include "spreadchecks.h"
 
 using namespace fulmarledge;
-using namespace fulmarledge::test;
+using namespace fulmarledge::spreadtest;
 
 namespace {
 
