--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -1228,6 +1228,11 @@
 void ManifestDelta::__set_removedRoutes(const std::vector<std::string> & val) {
   this->removedRoutes = val;
 }
+
+void ManifestDelta::__set_limits(const std::string& val) {
+  this->limits = val;
+__isset.limits = true;
+}
 std::ostream& operator<<(std::ostream& out, const ManifestDelta& obj)
 {
   obj.printTo(out);
@@ -1344,6 +1349,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->limits);
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1413,6 +1426,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limits) {
+    xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->limits);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1425,6 +1443,7 @@
   swap(a.removedServices, b.removedServices);
   swap(a.routes, b.routes);
   swap(a.removedRoutes, b.removedRoutes);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
@@ -1434,6 +1453,7 @@
   removedServices = other50.removedServices;
   routes = other50.routes;
   removedRoutes = other50.removedRoutes;
+  limits = other50.limits;
   __isset = other50.__isset;
 }
 ManifestDelta::ManifestDelta(ManifestDelta&& other51) noexcept {
@@ -1442,6 +1462,7 @@
   removedServices = std::move(other51.removedServices);
   routes = std::move(other51.routes);
   removedRoutes = std::move(other51.removedRoutes);
+  limits = std::move(other51.limits);
   __isset = other51.__isset;
 }
 ManifestDelta& ManifestDelta::operator=(const ManifestDelta& other52) {
@@ -1450,6 +1471,7 @@
   removedServices = other52.removedServices;
   routes = other52.routes;
   removedRoutes = other52.removedRoutes;
+  limits = other52.limits;
   __isset = other52.__isset;
   return *this;
 }
@@ -1459,6 +1481,7 @@
   removedServices = std::move(other53.removedServices);
   routes = std::move(other53.routes);
   removedRoutes = std::move(other53.removedRoutes);
+  limits = std::move(other53.limits);
   __isset = other53.__isset;
   return *this;
 }
@@ -1470,6 +1493,7 @@
   out << ", " << "removedServices=" << to_string(removedServices);
   out << ", " << "routes=" << to_string(routes);
   out << ", " << "removedRoutes=" << to_string(removedRoutes);
+  out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3461,6 +3485,16 @@
 void HopRequest::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void HopRequest::__set_hostName(const std::string& val) {
+  this->hostName = val;
+__isset.hostName = true;
+}
+
+void HopRequest::__set_rank(const int32_t val) {
+  this->rank = val;
+__isset.rank = true;
+}
 std::ostream& operator<<(std::ostream& out, const HopRequest& obj)
 {
   obj.printTo(out);
@@ -3597,6 +3631,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->hostName);
+          this->__isset.hostName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3670,6 +3720,16 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.hostName) {
+    xfer += oprot->writeFieldBegin("hostName", ::apache::thrift::protocol::T_STRING, 13);
+    xfer += oprot->writeString(this->hostName);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rank) {
+    xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 14);
+    xfer += oprot->writeI32(this->rank);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3689,6 +3749,8 @@
   swap(a.caller, b.caller);
   swap(a.bulk, b.bulk);
   swap(a.version, b.version);
+  swap(a.hostName, b.hostName);
+  swap(a.rank, b.rank);
   swap(a.__isset, b.__isset);
 }
 
@@ -3705,6 +3767,8 @@
   caller = other138.caller;
   bulk = other138.bulk;
   version = other138.version;
+  hostName = other138.hostName;
+  rank = other138.rank;
   __isset = other138.__isset;
 }
 HopRequest::HopRequest(HopRequest&& other139) noexcept {
@@ -3720,6 +3784,8 @@
   caller = std::move(other139.caller);
   bulk = other139.bulk;
   version = other139.version;
+  hostName = std::move(other139.hostName);
+  rank = other139.rank;
   __isset = other139.__isset;
 }
 HopRequest& HopRequest::operator=(const HopRequest& other140) {
@@ -3735,6 +3801,8 @@
   caller = other140.caller;
   bulk = other140.bulk;
   version = other140.version;
+  hostName = other140.hostName;
+  rank = other140.rank;
   __isset = other140.__isset;
   return *this;
 }
@@ -3751,6 +3819,8 @@
   caller = std::move(other141.caller);
   bulk = other141.bulk;
   version = other141.version;
+  hostName = std::move(other141.hostName);
+  rank = other141.rank;
   __isset = other141.__isset;
   return *this;
 }
@@ -3769,6 +3839,8 @@
   out << ", " << "caller=" << to_string(caller);
   out << ", " << "bulk=" << to_string(bulk);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "hostName="; (__isset.hostName ? (out << to_string(hostName)) : (out << "<null>"));
+  out << ", " << "rank="; (__isset.rank ? (out << to_string(rank)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -547,12 +547,13 @@
 std::ostream& operator<<(std::ostream& out, const Digest& obj);
 
 typedef struct _ManifestDelta__isset {
-  _ManifestDelta__isset() : fromVersion(false), services(false), removedServices(false), routes(false), removedRoutes(false) {}
+  _ManifestDelta__isset() : fromVersion(false), services(false), removedServices(false), routes(false), removedRoutes(false), limits(false) {}
   bool fromVersion :1;
   bool services :1;
   bool removedServices :1;
   bool routes :1;
   bool removedRoutes :1;
+  bool limits :1;
 } _ManifestDelta__isset;
 
 class ManifestDelta : public virtual ::apache::thrift::TBase {
@@ -563,7 +564,8 @@
   ManifestDelta& operator=(const ManifestDelta&);
   ManifestDelta& operator=(ManifestDelta&&) noexcept;
   ManifestDelta() noexcept
-                : fromVersion(0) {
+                : fromVersion(0),
+                  limits() {
   }
 
   virtual ~ManifestDelta() noexcept;
@@ -572,6 +574,7 @@
   std::vector<std::string>  removedServices;
   std::vector<std::string>  routes;
   std::vector<std::string>  removedRoutes;
+  std::string limits;
 
   _ManifestDelta__isset __isset;
 
@@ -585,6 +588,8 @@
 
   void __set_removedRoutes(const std::vector<std::string> & val);
 
+  void __set_limits(const std::string& val);
+
   bool operator == (const ManifestDelta & rhs) const
   {
     if (!(fromVersion == rhs.fromVersion))
@@ -597,6 +602,10 @@
       return false;
     if (!(removedRoutes == rhs.removedRoutes))
       return false;
+    if (__isset.limits != rhs.__isset.limits)
+      return false;
+    else if (__isset.limits && !(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const ManifestDelta &rhs) const {
@@ -1354,7 +1363,7 @@
 std::ostream& operator<<(std::ostream& out, const HttpField& obj);
 
 typedef struct _HopRequest__isset {
-  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false) {}
+  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false), hostName(false), rank(false) {}
   bool id :1;
   bool serviceName :1;
   bool method :1;
@@ -1367,6 +1376,8 @@
   bool caller :1;
   bool bulk :1;
   bool version :1;
+  bool hostName :1;
+  bool rank :1;
 } _HopRequest__isset;
 
 class HopRequest : public virtual ::apache::thrift::TBase {
@@ -1387,7 +1398,9 @@
                idempotencyKey(),
                caller(),
                bulk(0),
-               version(0) {
+               version(0),
+               hostName(),
+               rank(0) {
   }
 
   virtual ~HopRequest() noexcept;
@@ -1403,6 +1416,8 @@
   std::string caller;
   bool bulk;
   int64_t version;
+  std::string hostName;
+  int32_t rank;
 
   _HopRequest__isset __isset;
 
@@ -1430,6 +1445,10 @@
 
   void __set_version(const int64_t val);
 
+  void __set_hostName(const std::string& val);
+
+  void __set_rank(const int32_t val);
+
   bool operator == (const HopRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -1456,6 +1475,14 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (__isset.hostName != rhs.__isset.hostName)
+      return false;
+    else if (__isset.hostName && !(hostName == rhs.hostName))
+      return false;
+    if (__isset.rank != rhs.__isset.rank)
+      return false;
+    else if (__isset.rank && !(rank == rhs.rank))
+      return false;
     return true;
   }
   bool operator != (const HopRequest &rhs) const {
--- a/include/fulmarledge/controlnode.h
+++ b/include/fulmarledge/controlnode.h
@@ -90,6 +90,7 @@
     EventLog &m_log;
     ControlListener &m_listener;
     std::shared_ptr<const Manifest> m_manifest;
+    std::shared_ptr<const RouteTable> m_routes; ///< of `m_manifest`
     Version m_version = 0;
     bool m_manifestChanged = false;
     std::uint64_t m_builtRevision = 0;
--- a/include/fulmarledge/manifest.h
+++ b/include/fulmarledge/manifest.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "fulmarledge/types.h"
 #include "fulmarledge_types.h"
@@ -15,9 +16,18 @@
 /// Admission class of a service's requests.
 enum class ServiceClass : std::uint8_t { Interactive, Bulk };
 
+/// What may be repeated of a route's requests.
+enum class RequestKind : std::uint8_t {
+    ByMethod, ///< decided by the service's idempotent methods
+    Safe, ///< may run more than once
+    Unsafe, ///< may run at most once
+    Download, ///< safe, with large answers
+};
+
 struct ServiceSpec {
     std::string name;
-    std::set<std::string> backendServers; ///< host names that may take the service's requests
+    /// Host names that may take the service's requests. Empty: every host whose backend server announces the service.
+    std::set<std::string> backendServers;
     ServiceClass serviceClass = ServiceClass::Interactive;
     std::int64_t timeoutMs = 10000;
     std::set<std::string> idempotentMethods{"DELETE", "GET", "HEAD", "OPTIONS", "PUT", "TRACE"};
@@ -25,6 +35,43 @@
     bool operator==(const ServiceSpec &) const = default;
 };
 
+/// Service that takes a share of a route's requests.
+struct RouteTarget {
+    std::string service;
+    std::uint32_t weight = 1; ///< share in proportion to the other targets
+
+    bool operator==(const RouteTarget &) const = default;
+};
+
+/// Requests of one host name and path prefix.
+struct RouteSpec {
+    std::string host; ///< in lower case, without a port; empty for every host name
+    std::string pathPrefix; ///< matches whole segments; with a "/" at its end, the paths that begin with it
+    std::vector<RouteTarget> targets; ///< one or more
+    RequestKind kind = RequestKind::ByMethod;
+    std::int64_t timeoutMs = 0; ///< longest time to the answer; 0 for the service's
+    std::int64_t targetLatencyMs = 0; ///< latency objective; 0 for none
+    std::uint32_t maxAttempts = 0; ///< backend servers that one request may be sent to; 0 for the node's setting
+    std::uint32_t priority = 0; ///< rank, 0 first
+
+    /// Unique within a manifest.
+    std::string key() const
+    {
+        return host + pathPrefix;
+    }
+    bool operator==(const RouteSpec &) const = default;
+};
+
+/// Bounds on what a caller may send. 0 leaves the bound to the node's settings.
+struct CallerLimits {
+    std::int64_t maxHeaderBytes = 0;
+    std::int64_t maxBodyBytes = 0;
+    std::int64_t headerTimeoutMs = 0;
+    std::int64_t idleTimeoutMs = 0;
+
+    bool operator==(const CallerLimits &) const = default;
+};
+
 /// A checked manifest: unique names, no route without its service, no service without a backend server and a route.
 class Manifest
 {
@@ -36,11 +83,15 @@
     {
         return m_services;
     }
-    /// Service name by path prefix.
-    const std::map<std::string, std::string, std::less<>> &routes() const
+    /// By RouteSpec::key().
+    const std::map<std::string, RouteSpec, std::less<>> &routes() const
     {
         return m_routes;
     }
+    const CallerLimits &limits() const
+    {
+        return m_limits;
+    }
 
     /// JSON with sorted entries and without defaults. Equal manifests have equal canonical texts.
     std::string canonicalText() const;
@@ -55,7 +106,8 @@
     bool check(LastReason &error) const;
 
     std::map<std::string, ServiceSpec, std::less<>> m_services;
-    std::map<std::string, std::string, std::less<>> m_routes;
+    std::map<std::string, RouteSpec, std::less<>> m_routes;
+    CallerLimits m_limits;
 };
 
 /// SHA-256 in lower-case hexadecimal.
--- a/include/fulmarledge/requestsession.h
+++ b/include/fulmarledge/requestsession.h
@@ -51,6 +51,8 @@
     std::string_view key; ///< idempotency key, empty without one
     std::uint32_t depth = 1; ///< depth in the call chain, 1 for a call from outside
     TimeMs deadline = 0;
+    RequestKind kind = RequestKind::ByMethod;
+    std::uint32_t maxAttempts = 0; ///< backend servers that the request may be sent to; 0 for the node's setting
 };
 
 enum class ActionKind : std::uint8_t {
@@ -99,6 +101,7 @@
     int status = 0; ///< the backend server's if answered, else the status of a key owner's refusal or 0
     TimeMs retryAfterMs = 0;
     std::int32_t load = -1; ///< requests in the host's slot guard, or -1 if not reported
+    bool reachedBackend = true; ///< false when it was refused before it was sent to a backend server
 };
 
 /// One caller's request at its entry node. Belongs to one thread at a time; sessions of several threads share views,
@@ -157,6 +160,7 @@
     State m_state = State::New;
     bool m_mayHaveRun = false; ///< an earlier attempt ended without a certain "not run"
     std::uint32_t m_attempts = 0;
+    std::uint32_t m_sent = 0; ///< attempts that reached a backend server, or may have
     AttemptId m_attempt;
     BackendHandle m_backend;
     TimeMs m_dispatched = 0;
--- a/include/fulmarledge/retry.h
+++ b/include/fulmarledge/retry.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <memory>
 
 #include "fulmarledge/ports.h"
 #include "fulmarledge/types.h"
@@ -18,11 +19,18 @@
     TimeMs maxBackoffMs = 100;
 };
 
+/// This node's part of a retry budget that all nodes share. Follows the number of live nodes.
+struct RetryAllowance {
+    std::atomic<std::uint32_t> percent{0}; ///< retries per 100 requests of the window
+    std::atomic<std::uint32_t> extraHundredths{0}; ///< hundredths of a retry per window on top
+};
+
 /// Retries allowed for one service at one node. Any number of threads, without locks.
 class RetryBudget
 {
 public:
-    explicit RetryBudget(const RetryConfig &config = {});
+    /// @param shared replaces the percentage and the rate of `config` when not null
+    explicit RetryBudget(const RetryConfig &config = {}, std::shared_ptr<const RetryAllowance> shared = {});
 
     /// Counts a first attempt.
     void addRequest(TimeMs now);
@@ -37,6 +45,7 @@
     bool isWithin(std::int64_t second) const;
 
     RetryConfig m_config;
+    std::shared_ptr<const RetryAllowance> m_shared;
     /// One word per second: second, requests and retries, so that a word is renewed in one step.
     std::array<std::atomic<std::uint64_t>, kSeconds> m_buckets{};
 };
@@ -46,6 +55,7 @@
     Verdict verdict = Verdict::MayHaveRun;
     Reason reason = Reason::None;
     bool idempotent = false; ///< the service lists the method as idempotent
+    bool reachedBackend = true; ///< false when it was refused before it was sent to a backend server
     bool keyed = false; ///< carries an idempotency key: its owner answers for it
     std::uint32_t attempts = 1; ///< attempts made, this one included
     TimeMs remainingMs = 0; ///< until the deadline
@@ -57,7 +67,8 @@
     Reason reason = Reason::None; ///< why not, when `retry` is false
 };
 
-/// Whether a request may be sent again after `outcome`. Takes one retry from `budget` when it may.
+/// Whether a request may be sent again after `outcome`. Takes one retry from `budget` when it may. An attempt that
+/// reached no backend server adds nothing to its load, so the next one is no retry in the sense of the budget.
 RetryDecision decideRetry(const AttemptOutcome &outcome, const RetryConfig &config, RetryBudget &budget,
                           RandomSource &random, TimeMs now);
 
--- a/include/fulmarledge/slotguard.h
+++ b/include/fulmarledge/slotguard.h
@@ -37,8 +37,15 @@
     std::string_view caller;
     ServiceClass serviceClass = ServiceClass::Interactive;
     TimeMs deadline = 0;
+    std::optional<std::uint32_t> rank = std::nullopt; ///< lower ranks go first; the rank of the class when not set
 };
 
+/// Rank of a class's requests where the manifest gives none.
+constexpr std::uint32_t rankOf(ServiceClass serviceClass)
+{
+    return serviceClass == ServiceClass::Interactive ? 0 : 1;
+}
+
 enum class GuardState : std::uint8_t { Run, Wait, Refuse };
 
 /// Decision on one request. A refusal is always made before dispatch: the request did not run.
@@ -113,7 +120,7 @@
     /// Mean service time in ms, 0 before the first sample.
     double serviceTimeMs(ServiceClass serviceClass) const
     {
-        return m_serviceMs[static_cast<std::size_t>(serviceClass)];
+        return m_serviceMs[indexOf(rankOf(serviceClass))];
     }
     /// For the balancer. Lives longer than the guard if needed.
     std::shared_ptr<const SlotGauge> gauge() const
@@ -128,6 +135,7 @@
         TimeMs deadline = 0;
         TimeMs started = 0;
         ServiceClass serviceClass = ServiceClass::Interactive;
+        std::uint32_t rank = 0;
         GuardState state = GuardState::Wait;
         Reason refusal = Reason::None; ///< for entries that `next` still has to report as refused
     };
@@ -141,10 +149,18 @@
     std::uint32_t workOf(std::uint64_t hash) const;
     void remove(Entry &entry);
     bool goesBefore(const Entry &a, const Entry &b) const;
-    bool makeRoom(ServiceClass serviceClass, std::uint64_t callerHash);
+    static std::uint32_t effectiveRank(const GuardRequest &request)
+    {
+        return request.rank.value_or(rankOf(request.serviceClass));
+    }
+    static std::size_t indexOf(std::uint32_t rank)
+    {
+        return rank < kRanks ? rank : kRanks - 1;
+    }
+    bool makeRoom(const GuardRequest &request, std::uint64_t callerHash);
     bool mayStart(ServiceClass serviceClass, TimeMs now) const;
-    bool canMeet(ServiceClass serviceClass, TimeMs deadline, double waitMs, TimeMs now) const;
-    double expectedWaitMs(ServiceClass serviceClass) const;
+    bool canMeet(std::uint32_t rank, TimeMs deadline, double waitMs, TimeMs now) const;
+    double expectedWaitMs(std::uint32_t rank) const;
     Reason check(const GuardRequest &request, TimeMs now) const;
     Entry *bestWaiting(TimeMs now);
     Entry *mustRefuse(TimeMs now);
@@ -163,7 +179,8 @@
     bool m_draining = false;
     TimeMs m_bulkLimitedUntil = 0;
     std::uint64_t m_lastId = 0;
-    std::array<double, 2> m_serviceMs{}; ///< by ServiceClass
+    static constexpr std::size_t kRanks = 8; ///< ranks with a mean service time of their own; the last one has the rest
+    std::array<double, kRanks> m_serviceMs{}; ///< by rank
     std::vector<Entry> m_entries; ///< at most slots + queue
     std::vector<Caller> m_callers; ///< callers with work in the guard, places reused: no more than entries at once
     std::shared_ptr<SlotGauge> m_gauge;
--- a/include/fulmarledge/spread.h
+++ b/include/fulmarledge/spread.h
@@ -39,6 +39,8 @@
     TimeMs rankDelayMs = 300; ///< head start of each watcher over the next rank
     TimeMs settleMs = 200; ///< time given to pushes before digests repair
     TimeMs replicateMs = 200; ///< period of repeated pushes while no member has acknowledged
+    /// Longest wait for a second holder of a version that was read from the platform; 0 waits as long as it takes.
+    TimeMs replicateLimitMs = 0;
     TimeMs readTimeoutMs = 1000; ///< a later reply of the platform is still used
     TimeMs watchTimeoutMs = 20000; ///< asked of the platform
     TimeMs watchLateMs = 2000; ///< a watch this long past its timeout is replaced
--- a/include/fulmarledge/types.h
+++ b/include/fulmarledge/types.h
@@ -20,6 +20,11 @@
     std::uint32_t idx = kInvalidHandle;
 };
 
+/// Index of a route in one route table.
+struct RouteHandle {
+    std::uint32_t idx = kInvalidHandle;
+};
+
 /// Index of a backend server in one snapshot.
 struct BackendHandle {
     std::uint32_t idx = kInvalidHandle;
@@ -30,6 +35,11 @@
     return handle.idx != kInvalidHandle;
 }
 
+inline bool isValid(RouteHandle handle)
+{
+    return handle.idx != kInvalidHandle;
+}
+
 inline bool isValid(BackendHandle handle)
 {
     return handle.idx != kInvalidHandle;
--- a/include/fulmarledge/verdict.h
+++ b/include/fulmarledge/verdict.h
@@ -39,6 +39,8 @@
     DepthExceeded,
     KeyReused, ///< the idempotency key belongs to a different request
     AnswerNotKept, ///< the keyed request ran, and its answer was too large to keep
+    ForeignAnswer, ///< the bytes received are not the backend server's answer to this request
+    WrongInstance, ///< another backend server has the address
     Count
 };
 
--- a/src/adapters/backendcalls.cpp
+++ b/src/adapters/backendcalls.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "requestheaders.h"
+#include <charconv>
 
 namespace fulmarledge {
 
@@ -12,31 +12,38 @@
 /// Idle connections to the backend server kept by one thread. Several times the usual number of slots, because a
 /// restarted backend server leaves closed connections behind until they are noticed.
 constexpr long kIdleConnections = 64;
-constexpr int kServiceUnavailable = 503;
+/// A connection is given up this long before the backend server may close it, so that no request crosses the close.
+constexpr long kIdleMarginSeconds = 2;
 
-bool isShed(const HttpResult &result)
+/// Seconds of "Keep-Alive: timeout=N", or 0.
+long keepAliveSeconds(const HttpFields &fields)
 {
-    return result.status == kServiceUnavailable && fieldValue(result.fields, "Fulmarledge-Verdict") == "not-run";
+    static constexpr std::string_view kTimeout = "timeout=";
+    const std::string_view text = fieldValue(fields, "Keep-Alive");
+    const std::size_t start = text.find(kTimeout);
+    long seconds = 0;
+    if (start != std::string_view::npos) {
+        const std::string_view digits = text.substr(start + kTimeout.size());
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    }
+    return seconds;
 }
 
-wire::HopResponse toResponse(HttpResult &&result, bool head)
+wire::HopResponse toResponse(HttpResult &&result, const AnswerJudgement &judgement, const RequestDialect &dialect,
+                             bool head)
 {
-    wire::HopResponse response;
-    if (result.verdict == Verdict::Answered && isShed(result)) {
-        response = refusal(Verdict::NotRun, Reason::ShedLoad, 0);
-    } else {
-        response = refusal(result.verdict, result.reason, 0);
+    if (result.verdict != Verdict::Answered && !result.headRefused) {
+        return refusal(result.verdict, result.reason, 0);
     }
-    if (result.verdict != Verdict::Answered) {
+    wire::HopResponse response = refusal(judgement.verdict, judgement.reason, 0);
+    if (judgement.verdict != Verdict::Answered) {
         return response;
     }
     response.__set_status(result.status);
-    response.__set_fields(endToEndFields(result.fields));
+    response.__set_fields(endToEndFields(result.fields, dialect));
     const std::string_view length = fieldValue(result.fields, "Content-Length");
     if (head && !length.empty()) {
-        wire::HttpField &field = response.fields.emplace_back();
-        field.name = "Content-Length";
-        field.value = length;
+        addField(response.fields, "Content-Length", std::string(length));
     }
     response.body = std::move(result.body);
     return response;
@@ -44,9 +51,11 @@
 
 } // namespace
 
-BackendCalls::BackendCalls(IoLoop &loop, LocalBackend &backend, std::size_t maxAnswerBytes)
+BackendCalls::BackendCalls(IoLoop &loop, LocalBackend &backend, const RequestDialect &dialect,
+                           std::size_t maxAnswerBytes)
     : m_loop(loop)
     , m_backend(backend)
+    , m_dialect(dialect)
     , m_maxAnswerBytes(maxAnswerBytes)
     , m_client(loop, kIdleConnections)
 {
@@ -116,8 +125,16 @@
     for (wire::HttpField &field : job.request.fields) {
         request.fields.emplace_back(std::move(field.name), std::move(field.value));
     }
-    request.fields.emplace_back("Fulmarledge-Request-Id", job.request.requestId);
-    request.fields.emplace_back("Fulmarledge-Deadline-Ms", std::to_string(left));
+    if (job.request.__isset.hostName) {
+        request.fields.emplace_back("Host", job.request.hostName);
+    }
+    job.instance = m_backend.instance();
+    m_dialect.addBackendFields({job.request.requestId, left, job.instance}, request.fields);
+    request.acceptHead = [this, id](int status, const HttpFields &fields) {
+        // A judged refusal is a complete answer, after which the connection stays usable.
+        return judge(m_jobs[id], status, fields).verdict != Verdict::MayHaveRun;
+    };
+    request.maxIdleSeconds = m_idleSeconds > 0 ? std::max(m_idleSeconds - kIdleMarginSeconds, 1L) : 0;
     request.body = std::move(job.request.body);
     request.timeoutMs = left;
     request.maxBodyBytes = m_maxAnswerBytes;
@@ -125,10 +142,19 @@
         = m_client.send(std::move(request), [this, id](HttpResult result) { onResult(id, std::move(result)); });
 }
 
+AnswerJudgement BackendCalls::judge(const Job &job, int status, const HttpFields &fields) const
+{
+    return m_dialect.judge(status, fields, {job.request.requestId, 0, job.instance});
+}
+
 void BackendCalls::onResult(std::uint64_t id, HttpResult result)
 {
     const Job &job = m_jobs[id];
-    wire::HopResponse response = toResponse(std::move(result), job.head);
+    if (result.verdict == Verdict::Answered) {
+        m_idleSeconds = keepAliveSeconds(result.fields);
+    }
+    const AnswerJudgement judgement = judge(job, result.status, result.fields);
+    wire::HopResponse response = toResponse(std::move(result), judgement, m_dialect, job.head);
     m_backend.finish(job.entry, job.key, response, monotonicMs());
     finish(id, std::move(response));
 }
--- a/src/adapters/backendcalls_p.h
+++ b/src/adapters/backendcalls_p.h
@@ -8,6 +8,7 @@
 #include "httpclient.h"
 #include "ioloop.h"
 #include "localbackend_p.h"
+#include "requestdialect.h"
 
 namespace fulmarledge {
 
@@ -17,7 +18,7 @@
 public:
     using Done = std::function<void(wire::HopResponse &&)>;
 
-    BackendCalls(IoLoop &loop, LocalBackend &backend, std::size_t maxAnswerBytes);
+    BackendCalls(IoLoop &loop, LocalBackend &backend, const RequestDialect &dialect, std::size_t maxAnswerBytes);
     ~BackendCalls();
     BackendCalls(const BackendCalls &) = delete;
     BackendCalls &operator=(const BackendCalls &) = delete;
@@ -34,10 +35,12 @@
         GuardEntryId entry;
         KeyEntryId key;
         TransferId transfer;
+        std::string instance; ///< backend server that it was sent to
         bool running = false;
         bool head = false;
     };
 
+    AnswerJudgement judge(const Job &job, int status, const HttpFields &fields) const;
     void resume(std::uint64_t id, const GuardDecision &decision);
     void dispatch(std::uint64_t id);
     void onResult(std::uint64_t id, HttpResult result);
@@ -46,7 +49,9 @@
 
     IoLoop &m_loop;
     LocalBackend &m_backend;
+    const RequestDialect &m_dialect;
     std::size_t m_maxAnswerBytes;
+    long m_idleSeconds = 0; ///< idle time after which the backend server may close a connection; 0 when not stated
     HttpClient m_client;
     std::uint64_t m_nextId = 1;
     std::unordered_map<std::uint64_t, Job> m_jobs;
--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -10,16 +10,22 @@
 
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-constexpr TimeMs kMsPerSecond = 1000;
+/// Told to callers that a node cannot serve yet.
+constexpr TimeMs kNotServableRetryMs = 1000;
 
 wire::HopResponse toResponse(HopOutcome &&outcome)
 {
     return outcome.fromPeer ? std::move(outcome.response) : refusal(outcome.verdict, outcome.reason, 0);
 }
 
-std::string retryAfterSeconds(TimeMs ms)
+/// Whether an attempt got as far as a backend server, or may have.
+bool reachedBackend(const wire::HopResponse &response)
 {
-    return std::to_string(std::max<TimeMs>((ms + kMsPerSecond - 1) / kMsPerSecond, 1));
+    if (static_cast<Verdict>(response.verdict) != Verdict::NotRun) {
+        return true;
+    }
+    const auto reason = static_cast<Reason>(response.reason);
+    return reason == Reason::ShedLoad || reason == Reason::WrongInstance;
 }
 
 } // namespace
@@ -28,7 +34,8 @@
     : settings(pathSettings)
     , metrics(pathMetrics)
     , backend(monotonicMs())
-    , views(pathSettings.host, pathSettings.zone, backend.gauge(), pathSettings.balancer, pathSettings.retry)
+    , views(pathSettings.host, pathSettings.zone, backend.gauge(), pathSettings.balancer, pathSettings.retry,
+            pathSettings.retryAllowance)
 {
 }
 
@@ -37,10 +44,12 @@
     state.refused.fetch_add(1, std::memory_order_relaxed);
     state.metrics.countRefusal(reason);
     state.metrics.countVerdict(Verdict::NotRun);
-    HttpFields fields{{"Fulmarledge-Verdict", "not-run"}, {"Fulmarledge-Reason", std::string(reasonName(reason))}};
-    if (status == kUnavailable) {
-        fields.emplace_back("Retry-After", "1");
-    }
+    AnswerNotes notes;
+    notes.reason = reason;
+    notes.status = status;
+    notes.retryAfterMs = kNotServableRetryMs;
+    HttpFields fields;
+    state.settings.dialect->addAnswerFields(notes, fields);
     responder.send(status, fields, detail.empty() ? std::string() : detail + "\n");
 }
 
@@ -51,7 +60,7 @@
 
 DataWorker::DataWorker(PathState &state)
     : m_state(state)
-    , m_calls(m_loop, state.backend, state.settings.maxAnswerBytes)
+    , m_calls(m_loop, state.backend, *state.settings.dialect, state.settings.maxAnswerBytes)
     , m_hopClient(m_loop, state.settings.hopConfig)
     , m_hopServer(m_loop, state.settings.hopConfig,
                   {[this](HopCallId call, wire::HopRequest &&request) { onHopRequest(call, std::move(request)); },
@@ -94,11 +103,11 @@
     work.request = std::move(request);
     work.routing = m_state.views.share();
     const HttpCall &call = work.request->call;
-    ServiceHandle service;
+    RouteHandle route;
     if (work.routing) {
-        service = work.routing->view->snapshot().route(call.path);
+        route = work.routing->view->snapshot().routes().find(fieldValue(call.fields, "Host"), call.path);
     }
-    if (!isValid(service)) {
+    if (!isValid(route)) {
         sendRefusal(m_state, *call.responder, work.routing ? kNotFound : kUnavailable,
                     work.routing ? Reason::NoRoute : Reason::NotReady, "no route for this path");
         m_state.outstanding.fetch_sub(1, std::memory_order_relaxed);
@@ -106,20 +115,27 @@
         m_work.erase(id);
         return;
     }
-    startSession(id, work, service);
+    startSession(id, work, route);
 }
 
-void DataWorker::startSession(std::uint64_t id, Work &work, ServiceHandle service)
+void DataWorker::startSession(std::uint64_t id, Work &work, RouteHandle handle)
 {
     const HttpCall &call = work.request->call;
     const CallerFields &fields = work.request->fields;
     const Snapshot &snapshot = work.routing->view->snapshot();
+    const TableRoute &route = snapshot.routes().route(handle);
+    const ServiceHandle service = route.pick();
     const ServiceSpec &spec = snapshot.service(service).spec;
     work.serviceName = spec.name;
     work.bulk = spec.serviceClass == ServiceClass::Bulk;
     work.version = snapshot.version();
     work.target = call.path + call.query;
-    const std::int64_t limit = fields.deadlineMs > 0 ? std::min(fields.deadlineMs, spec.timeoutMs) : spec.timeoutMs;
+    if (route.spec.kind != RequestKind::ByMethod) {
+        work.rank = route.spec.priority;
+        work.bulk = route.spec.kind == RequestKind::Download;
+    }
+    const std::int64_t timeout = route.spec.timeoutMs > 0 ? route.spec.timeoutMs : spec.timeoutMs;
+    const std::int64_t limit = fields.deadlineMs > 0 ? std::min(fields.deadlineMs, timeout) : timeout;
     work.deadline = work.request->received + limit;
     SessionRequest session;
     session.id = id;
@@ -128,6 +144,8 @@
     session.key = fields.key;
     session.depth = fields.depth;
     session.deadline = work.deadline;
+    session.kind = route.spec.kind;
+    session.maxAttempts = route.spec.maxAttempts;
     SessionConfig config;
     config.retry = m_state.settings.retry;
     work.session = std::make_unique<RequestSession>(session, work.routing->view, config,
@@ -182,16 +200,9 @@
     request.serviceName = work.serviceName;
     request.method = call.method;
     request.target = work.target;
-    request.fields = endToEndFields(call.fields);
-    const auto add = [&request](const char *name, std::string value) {
-        wire::HttpField &field = request.fields.emplace_back();
-        field.name = name;
-        field.value = std::move(value);
-    };
-    add("Fulmarledge-Depth", std::to_string(fields.depth));
-    if (fields.attempt > 1) {
-        add("Fulmarledge-Attempt", std::to_string(fields.attempt));
-    }
+    const RequestDialect &dialect = *m_state.settings.dialect;
+    request.fields = endToEndFields(call.fields, dialect);
+    dialect.addEntryFields(fields, request.fields);
     request.body = call.body;
     request.deadlineMs = static_cast<std::int32_t>(std::max<TimeMs>(action.until - monotonicMs(), 1));
     request.requestId = fields.requestId;
@@ -199,6 +210,12 @@
     request.caller = fields.caller;
     request.bulk = work.bulk;
     request.version = work.version;
+    if (!fields.hostName.empty()) {
+        request.__set_hostName(fields.hostName);
+    }
+    if (work.rank) {
+        request.__set_rank(static_cast<std::int32_t>(*work.rank));
+    }
     return request;
 }
 
@@ -239,6 +256,7 @@
     result.status = work.response.status;
     result.retryAfterMs = work.response.retryAfterMs;
     result.load = reported ? work.response.outstanding : -1;
+    result.reachedBackend = reachedBackend(work.response);
     work.lastReason = result.reason;
     act(id, work.session->attemptFinished(attempt, result, monotonicMs()));
 }
@@ -286,14 +304,10 @@
     } else {
         m_state.metrics.countRefusal(action.reason);
         m_state.refused.fetch_add(action.verdict == Verdict::NotRun ? 1 : 0, std::memory_order_relaxed);
-        fields.emplace_back("Fulmarledge-Reason", reasonName(action.reason));
-        if (action.status == kUnavailable) {
-            fields.emplace_back("Retry-After", retryAfterSeconds(action.retryAfterMs));
-        }
     }
-    fields.emplace_back("Fulmarledge-Verdict", verdictName(action.verdict));
-    fields.emplace_back("Fulmarledge-Request-Id", work.request->fields.requestId);
-    fields.emplace_back("Fulmarledge-Version", std::to_string(work.version));
+    AnswerNotes notes{action.verdict,       action.reason, action.status, action.retryAfterMs,
+                      work.request->fields.requestId, work.version};
+    m_state.settings.dialect->addAnswerFields(notes, fields);
     if (action.reason != Reason::CallerGone) {
         work.request->call.responder->send(action.status, fields, std::move(body));
     }
--- a/src/adapters/dataworker_p.h
+++ b/src/adapters/dataworker_p.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -15,7 +16,7 @@
 #include "httpserver.h"
 #include "localbackend_p.h"
 #include "metrics.h"
-#include "requestheaders.h"
+#include "requestdialect.h"
 #include "requestpath.h"
 #include "viewholder_p.h"
 
@@ -86,6 +87,7 @@
         std::string serviceName;
         Version version = 0;
         bool bulk = false;
+        std::optional<std::uint32_t> rank; ///< of the route, when the manifest gives one
         TimeMs deadline = 0;
         TimerId timer; ///< deadline
         TimerId backoff;
@@ -97,7 +99,7 @@
     };
 
     void begin(std::shared_ptr<CallerRequest> request);
-    void startSession(std::uint64_t id, Work &work, ServiceHandle service);
+    void startSession(std::uint64_t id, Work &work, RouteHandle route);
     void act(std::uint64_t id, const SessionActions &actions);
     void dispatch(std::uint64_t id, Work &work, const SessionAction &action);
     wire::HopRequest hopRequest(const Work &work, const SessionAction &action) const;
--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <curl/curl.h>
 #include <mutex>
 #include <stdexcept>
@@ -12,6 +13,8 @@
 
 namespace {
 
+constexpr int kFirstFinalStatus = 200;
+
 struct Transfer {
     std::uint64_t id = 0;
     CURL *easy = nullptr;
@@ -41,14 +44,31 @@
     return bytes;
 }
 
+/// Status of "HTTP/1.1 200 OK", or 0.
+int statusOfLine(std::string_view line)
+{
+    const std::size_t space = std::min(line.find(' '), line.size());
+    int status = 0;
+    const std::string_view digits = line.substr(std::min(space + 1, line.size()));
+    std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    return status;
+}
+
 std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto *transfer = static_cast<Transfer *>(user);
     const std::string_view line(data, size * count);
     if (line.starts_with("HTTP/")) {
         transfer->result.fields.clear();
+        transfer->result.status = statusOfLine(line);
         return line.size();
     }
+    if (line == "\r\n" || line == "\n") {
+        const bool isFinal = transfer->result.status >= kFirstFinalStatus;
+        const auto &accept = transfer->request.acceptHead;
+        transfer->result.headRefused = isFinal && accept && !accept(transfer->result.status, transfer->result.fields);
+        return transfer->result.headRefused ? 0 : line.size();
+    }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
         std::string_view value = line.substr(colon + 1);
@@ -89,6 +109,8 @@
     result.verdict = transfer.sends == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
     if (transfer.tooLarge) {
         result.reason = Reason::BodyTooLarge;
+    } else if (result.headRefused) {
+        result.reason = Reason::ForeignAnswer;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
         result.reason = transfer.sends == 0 ? Reason::ConnectFailed : Reason::DeadlineExceeded;
     } else if (transfer.sends == 0) {
@@ -260,6 +282,9 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeoutMs));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(std::min(request.connectTimeoutMs, request.timeoutMs)));
+    if (request.maxIdleSeconds > 0) {
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, request.maxIdleSeconds);
+    }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
--- a/src/adapters/httpclient.h
+++ b/src/adapters/httpclient.h
@@ -24,6 +24,11 @@
     std::int64_t timeoutMs = 10000;
     std::int64_t connectTimeoutMs = 1000;
     std::size_t maxBodyBytes = 64 * 1024 * 1024;
+    /// Seconds that a connection may have been idle to be reused; 0 for the library's default.
+    long maxIdleSeconds = 0;
+    /// Called with the complete header of the answer. False ends the transfer and closes its connection; the fields
+    /// are kept in the result. Empty accepts every answer.
+    std::function<bool(int status, const HttpFields &fields)> acceptHead;
     /// Allows a second send on a new connection after a reused one turned out to be closed.
     bool resendAllowed = false;
 };
@@ -31,7 +36,8 @@
 struct HttpResult {
     Verdict verdict = Verdict::NotRun;
     Reason reason = Reason::None;
-    int status = 0; ///< set when `verdict` is Answered
+    int status = 0; ///< set when `verdict` is Answered or the header was not accepted
+    bool headRefused = false; ///< `acceptHead` returned false
     HttpFields fields;
     std::string body;
     std::string detail; ///< text of libcurl for a failure
--- a/src/adapters/ioloop.cpp
+++ b/src/adapters/ioloop.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <ctime>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <system_error>
@@ -24,8 +25,10 @@
 
 std::int64_t monotonicUs()
 {
-    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch())
-        .count();
+    // The boot-time clock goes on while the host is suspended, so that a pause shows as a jump.
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return static_cast<std::int64_t>(now.tv_sec) * 1000000 + now.tv_nsec / 1000;
 }
 
 std::int64_t wallClockMs()
--- a/src/adapters/localbackend.cpp
+++ b/src/adapters/localbackend.cpp
@@ -38,7 +38,7 @@
 }
 
 void LocalBackend::set(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
-                       wire::HostState::type state, TimeMs now)
+                       wire::HostState::type state, TimeMs now, const std::string &instance)
 {
     m_refusedConnections.store(0, std::memory_order_relaxed);
     Lock lock(m_mutex);
@@ -46,6 +46,7 @@
         m_address = address;
         m_baseUrl = "http://" + address.ip + ":" + std::to_string(address.port);
     }
+    m_instance = instance;
     const bool changed = state != m_state || serviceName != m_service || slots != m_slots;
     if (serviceName != m_service) {
         m_owners.clear();
@@ -131,8 +132,11 @@
     GuardRequest guarded;
     guarded.service = request.serviceName;
     guarded.caller = request.caller;
-    guarded.serviceClass = request.bulk ? ServiceClass::Bulk : ServiceClass::Interactive;
+    guarded.serviceClass = request.bulk && !request.__isset.rank ? ServiceClass::Bulk : ServiceClass::Interactive;
     guarded.deadline = deadline;
+    if (request.__isset.rank) {
+        guarded.rank = static_cast<std::uint32_t>(std::max(request.rank, 0));
+    }
     const GuardDecision decision = m_guard.submit(guarded, now);
     admission.entry = decision.id;
     if (decision.state == GuardState::Run) {
@@ -230,6 +234,12 @@
     return m_baseUrl;
 }
 
+std::string LocalBackend::instance()
+{
+    const Lock lock(m_mutex);
+    return m_instance;
+}
+
 std::uint32_t LocalBackend::slots()
 {
     const Lock lock(m_mutex);
--- a/src/adapters/localbackend_p.h
+++ b/src/adapters/localbackend_p.h
@@ -38,7 +38,7 @@
     explicit LocalBackend(TimeMs now);
 
     void set(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
-             wire::HostState::type state, TimeMs now);
+             wire::HostState::type state, TimeMs now, const std::string &instance = {});
     /// Compares the hosts that may own keys of the local service with those of the last call.
     void setOwners(const Snapshot &snapshot, TimeMs now);
     void drain(std::function<void()> idle, TimeMs now);
@@ -58,6 +58,8 @@
 
     /// "http://IP:PORT" of the backend server.
     std::string baseUrl();
+    /// Id of the backend server's process, empty when it has none.
+    std::string instance();
     std::uint32_t slots();
     /// Requests in a row whose connection to the backend server failed.
     int refusedConnections() const
@@ -85,6 +87,7 @@
     SocketAddress m_address;
     std::string m_baseUrl;
     std::string m_service;
+    std::string m_instance;
     std::uint32_t m_slots = 0;
     std::vector<std::string> m_owners; ///< usable hosts of the local service
     wire::HostState::type m_state = wire::HostState::Starting;
--- /dev/null
+++ b/src/adapters/nativeenvironment.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "environment.h"
+
+namespace fulmarledge {
+
+/// The project's own interface: the object API of its stand-in and its own header fields. Backend servers announce
+/// themselves at the admin port.
+class NativeEnvironment : public Environment
+{
+public:
+    std::unique_ptr<PlatformStore> makeStore(HttpClient &client, MetricsSink &metrics, EventLog &log,
+                                             const SocketAddress &address) const override;
+    std::shared_ptr<const RequestDialect> makeDialect(const std::string &service) const override;
+    std::optional<BackendNotice> readNotice(const HttpCall &call, LastReason &error) const override;
+    bool isReadinessCall(const HttpCall &call) const override;
+};
+
+} // namespace fulmarledge
--- a/src/adapters/requestheaders.cpp
+++ b/src/adapters/requestdialect.cpp
@@ -1,9 +1,10 @@
-#include "requestheaders.h"
+#include "requestdialect.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <strings.h>
+#include <utility>
 
 namespace fulmarledge {
 
@@ -14,6 +15,8 @@
 constexpr std::int64_t kMaxDeadlineMs = 600000;
 constexpr std::int64_t kMaxDepth = 1000;
 constexpr std::int64_t kMaxAttempt = 1000000;
+constexpr int kServiceUnavailable = 503;
+constexpr TimeMs kMsPerSecond = 1000;
 
 bool equalNames(std::string_view a, std::string_view b)
 {
@@ -36,14 +39,6 @@
     return isOneOf(name, kNames);
 }
 
-bool isOwnField(std::string_view name)
-{
-    static constexpr std::array<std::string_view, 7> kNames{
-        "Fulmarledge-Deadline-Ms", "Fulmarledge-Request-Id", "Fulmarledge-Depth",  "Fulmarledge-Attempt",
-        "Fulmarledge-Verdict",     "Fulmarledge-Reason",     "Fulmarledge-Version"};
-    return isOneOf(name, kNames);
-}
-
 bool isListed(std::string_view list, std::string_view name)
 {
     while (!list.empty()) {
@@ -63,7 +58,9 @@
     return false;
 }
 
-bool readNumber(const HttpFields &fields, std::string_view name, std::int64_t low, std::int64_t high,
+} // namespace
+
+bool readNumberField(const HttpFields &fields, std::string_view name, std::int64_t low, std::int64_t high,
                 std::optional<std::int64_t> &value, LastReason &error)
 {
     const std::string_view text = fieldValue(fields, name);
@@ -81,7 +78,7 @@
     return true;
 }
 
-bool readToken(const HttpFields &fields, std::string_view name, std::size_t maxBytes, std::string &value,
+bool readTokenField(const HttpFields &fields, std::string_view name, std::size_t maxBytes, std::string &value,
                LastReason &error)
 {
     const std::string_view text = fieldValue(fields, name);
@@ -95,20 +92,18 @@
     return true;
 }
 
-} // namespace
-
-std::optional<CallerFields> parseCallerFields(const HttpCall &call, LastReason &error)
+std::optional<CallerFields> NativeDialect::parseCaller(const HttpCall &call, LastReason &error) const
 {
     CallerFields result;
     std::optional<std::int64_t> deadline;
     std::optional<std::int64_t> depth;
     std::optional<std::int64_t> attempt;
-    const bool good = readNumber(call.fields, "Fulmarledge-Deadline-Ms", 1, kMaxDeadlineMs, deadline, error)
-        && readNumber(call.fields, "Fulmarledge-Depth", 1, kMaxDepth, depth, error)
-        && readNumber(call.fields, "Fulmarledge-Attempt", 1, kMaxAttempt, attempt, error)
-        && readToken(call.fields, "Fulmarledge-Request-Id", kMaxIdBytes, result.requestId, error)
-        && readToken(call.fields, "Fulmarledge-Caller", kMaxIdBytes, result.caller, error)
-        && readToken(call.fields, "Idempotency-Key", kMaxKeyBytes, result.key, error);
+    const bool good = readNumberField(call.fields, "Fulmarledge-Deadline-Ms", 1, kMaxDeadlineMs, deadline, error)
+        && readNumberField(call.fields, "Fulmarledge-Depth", 1, kMaxDepth, depth, error)
+        && readNumberField(call.fields, "Fulmarledge-Attempt", 1, kMaxAttempt, attempt, error)
+        && readTokenField(call.fields, "Fulmarledge-Request-Id", kMaxIdBytes, result.requestId, error)
+        && readTokenField(call.fields, "Fulmarledge-Caller", kMaxIdBytes, result.caller, error)
+        && readTokenField(call.fields, "Idempotency-Key", kMaxKeyBytes, result.key, error);
     if (!good) {
         return std::nullopt;
     }
@@ -122,13 +117,68 @@
     return result;
 }
 
-std::vector<wire::HttpField> endToEndFields(const HttpFields &fields)
+bool NativeDialect::isOwnField(std::string_view name) const
+{
+    static constexpr std::array<std::string_view, 7> kNames{
+        "Fulmarledge-Deadline-Ms", "Fulmarledge-Request-Id", "Fulmarledge-Depth",  "Fulmarledge-Attempt",
+        "Fulmarledge-Verdict",     "Fulmarledge-Reason",     "Fulmarledge-Version"};
+    return isOneOf(name, kNames);
+}
+
+void NativeDialect::addEntryFields(const CallerFields &caller, std::vector<wire::HttpField> &fields) const
+{
+    addField(fields, "Fulmarledge-Depth", std::to_string(caller.depth));
+    if (caller.attempt > 1) {
+        addField(fields, "Fulmarledge-Attempt", std::to_string(caller.attempt));
+    }
+}
+
+void NativeDialect::addBackendFields(const BackendSend &send, HttpFields &fields) const
+{
+    fields.emplace_back("Fulmarledge-Request-Id", send.requestId);
+    fields.emplace_back("Fulmarledge-Deadline-Ms", std::to_string(send.remainingMs));
+}
+
+AnswerJudgement NativeDialect::judge(int status, const HttpFields &fields, const BackendSend &) const
+{
+    if (status == kServiceUnavailable && fieldValue(fields, "Fulmarledge-Verdict") == "not-run") {
+        return {Verdict::NotRun, Reason::ShedLoad};
+    }
+    return {};
+}
+
+void NativeDialect::addAnswerFields(const AnswerNotes &notes, HttpFields &fields) const
+{
+    if (notes.verdict != Verdict::Answered) {
+        fields.emplace_back("Fulmarledge-Reason", reasonName(notes.reason));
+        if (notes.status == kServiceUnavailable) {
+            const TimeMs seconds = std::max<TimeMs>((notes.retryAfterMs + kMsPerSecond - 1) / kMsPerSecond, 1);
+            fields.emplace_back("Retry-After", std::to_string(seconds));
+        }
+    }
+    fields.emplace_back("Fulmarledge-Verdict", verdictName(notes.verdict));
+    if (!notes.requestId.empty()) {
+        fields.emplace_back("Fulmarledge-Request-Id", notes.requestId);
+    }
+    if (notes.version > 0) {
+        fields.emplace_back("Fulmarledge-Version", std::to_string(notes.version));
+    }
+}
+
+void addField(std::vector<wire::HttpField> &fields, std::string_view name, std::string value)
+{
+    wire::HttpField &field = fields.emplace_back();
+    field.name = name;
+    field.value = std::move(value);
+}
+
+std::vector<wire::HttpField> endToEndFields(const HttpFields &fields, const RequestDialect &dialect)
 {
     const std::string_view connection = fieldValue(fields, "Connection");
     std::vector<wire::HttpField> result;
     result.reserve(fields.size() + 4);
     for (const auto &[name, value] : fields) {
-        if (!isHopByHop(name) && !isOwnField(name) && !isListed(connection, name)) {
+        if (!isHopByHop(name) && !dialect.isOwnField(name) && !isListed(connection, name)) {
             wire::HttpField &field = result.emplace_back();
             field.name = name;
             field.value = value;
--- a/src/adapters/requestpath.cpp
+++ b/src/adapters/requestpath.cpp
@@ -82,7 +82,7 @@
         return;
     }
     LastReason error;
-    std::optional<CallerFields> fields = parseCallerFields(call, error);
+    std::optional<CallerFields> fields = state.settings.dialect->parseCaller(call, error);
     if (!fields) {
         sendRefusal(state, *responder, kBadRequest, Reason::BadHeader, error.text());
         return;
@@ -148,9 +148,9 @@
 }
 
 void RequestPath::setLocalBackend(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
-                                  wire::HostState::type state, std::int32_t reportedLoad)
+                                  wire::HostState::type state, std::int32_t reportedLoad, const std::string &instance)
 {
-    m_shared->state.backend.set(address, serviceName, slots, state, monotonicMs());
+    m_shared->state.backend.set(address, serviceName, slots, state, monotonicMs(), instance);
     m_shared->state.metrics.gauge("backend-reported-load", {}, reportedLoad);
 }
 
--- a/src/adapters/requestpath.h
+++ b/src/adapters/requestpath.h
@@ -13,6 +13,7 @@
 #include "fulmarledge_types.h"
 #include "hop.h"
 #include "metrics.h"
+#include "requestdialect.h"
 
 namespace fulmarledge {
 
@@ -30,6 +31,8 @@
     HopConfig hopConfig;
     BalancerConfig balancer;
     RetryConfig retry;
+    std::shared_ptr<const RetryAllowance> retryAllowance; ///< replaces the rates of `retry` when not null
+    std::shared_ptr<const RequestDialect> dialect = std::make_shared<NativeDialect>();
 };
 
 struct RequestPathStats {
@@ -64,7 +67,7 @@
     /// The backend server's last announcement, or the lack of one (`state` Starting).
     /// @param reportedLoad requests that it says it is running; exported only, the slot guard counts for itself
     void setLocalBackend(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
-                         wire::HostState::type state, std::int32_t reportedLoad);
+                         wire::HostState::type state, std::int32_t reportedLoad, const std::string &instance = {});
 
     /// Refuses new work at the slot guard for good. `idle` runs once, on any thread, when none is in progress there.
     void drain(std::function<void()> idle);
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -141,6 +141,35 @@
         });
 }
 
+void SettingsSchema::addOptionalAddress(std::string key, std::string description, std::optional<SocketAddress> &out)
+{
+    add(std::move(key), std::move(description), "", [&out](std::string_view text, LastReason &error) {
+        out.reset();
+        if (text.empty()) {
+            return true;
+        }
+        out = parseSocketAddress(text, error);
+        return out.has_value();
+    });
+}
+
+void SettingsSchema::addNumber(std::string key, std::string description, std::string defaultText, double min, double max,
+                               double &out)
+{
+    add(std::move(key), std::move(description), std::move(defaultText),
+        [min, max, &out](std::string_view text, LastReason &error) {
+            double value = 0;
+            const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+            if (code != std::errc{} || end != text.data() + text.size() || !(value >= min && value <= max)) {
+                error.set("\"" + std::string(text) + "\" is not a number from " + std::to_string(min) + " to "
+                          + std::to_string(max));
+                return false;
+            }
+            out = value;
+            return true;
+        });
+}
+
 void SettingsSchema::addInteger(std::string key, std::string description, std::string defaultText, std::int64_t min,
                                 std::int64_t max, int &out)
 {
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -31,6 +31,10 @@
     void addPort(std::string key, std::string description, std::optional<std::string> defaultText, std::uint16_t &out);
     void addAddress(std::string key, std::string description, std::optional<std::string> defaultText,
                     SocketAddress &out);
+    /// An empty text leaves `out` empty.
+    void addOptionalAddress(std::string key, std::string description, std::optional<SocketAddress> &out);
+    void addNumber(std::string key, std::string description, std::string defaultText, double min, double max,
+                   double &out);
     void addInteger(std::string key, std::string description, std::string defaultText, std::int64_t min,
                     std::int64_t max, int &out);
     /// A whole number with the unit ms, s or min.
--- a/src/adapters/viewholder.cpp
+++ b/src/adapters/viewholder.cpp
@@ -25,9 +25,11 @@
 } // namespace
 
 ViewHolder::ViewHolder(std::string host, std::string zone, std::shared_ptr<const SlotGauge> ownSlots,
-                       const BalancerConfig &balancer, const RetryConfig &retry)
+                       const BalancerConfig &balancer, const RetryConfig &retry,
+                       std::shared_ptr<const RetryAllowance> allowance)
     : m_balancer(std::move(host), std::move(zone), std::move(ownSlots), balancer)
     , m_retry(retry)
+    , m_allowance(std::move(allowance))
 {
 }
 
@@ -53,7 +55,7 @@
     for (const SnapshotService &service : snapshot->services()) {
         std::shared_ptr<RetryBudget> &budget = budgets[service.spec.name];
         const auto known = m_budgets.find(service.spec.name);
-        budget = known != m_budgets.end() ? known->second : std::make_shared<RetryBudget>(m_retry);
+        budget = known != m_budgets.end() ? known->second : std::make_shared<RetryBudget>(m_retry, m_allowance);
         state->budgets.push_back(budget);
     }
     m_budgets = std::move(budgets);
--- a/src/adapters/viewholder_p.h
+++ b/src/adapters/viewholder_p.h
@@ -23,7 +23,8 @@
 {
 public:
     ViewHolder(std::string host, std::string zone, std::shared_ptr<const SlotGauge> ownSlots,
-               const BalancerConfig &balancer, const RetryConfig &retry);
+               const BalancerConfig &balancer, const RetryConfig &retry,
+               std::shared_ptr<const RetryAllowance> allowance);
     ~ViewHolder();
     ViewHolder(const ViewHolder &) = delete;
     ViewHolder &operator=(const ViewHolder &) = delete;
@@ -38,6 +39,7 @@
     std::mutex m_mutex;
     Balancer m_balancer;
     RetryConfig m_retry;
+    std::shared_ptr<const RetryAllowance> m_allowance;
     std::map<std::string, std::shared_ptr<RetryBudget>, std::less<>> m_budgets;
     std::atomic<const Node *> m_current{nullptr};
 };
--- a/src/core/controlnode.cpp
+++ b/src/core/controlnode.cpp
@@ -110,6 +110,7 @@
 {
     m_version = version;
     m_manifest = std::move(manifest);
+    m_routes = RouteTable::build(*m_manifest);
     m_manifestChanged = true;
     event("manifest-active", "version=" + std::to_string(version) + " digest=" + digest);
     m_metrics.gauge("manifest-version", "", static_cast<double>(version));
@@ -131,7 +132,7 @@
     }
     m_builtRevision = m_membership.revision();
     m_builtMs = now;
-    m_listener.onSnapshot(Snapshot::build(m_version, *m_manifest, m_membership.records()));
+    m_listener.onSnapshot(Snapshot::build(m_version, *m_manifest, m_membership.records(), m_routes));
     m_manifestChanged = false;
 }
 
--- a/src/core/requestsession.cpp
+++ b/src/core/requestsession.cpp
@@ -62,6 +62,9 @@
 
 bool RequestSession::isIdempotent() const
 {
+    if (m_request.kind != RequestKind::ByMethod) {
+        return m_request.kind != RequestKind::Unsafe;
+    }
     const auto &methods = m_view->snapshot().service(m_service).spec.idempotentMethods;
     return std::any_of(methods.begin(), methods.end(),
                        [this](const std::string &method) { return method == m_request.method; });
@@ -126,6 +129,7 @@
         m_view->reportLoad(m_backend, static_cast<std::uint32_t>(result.load), now);
     }
     endAttempt(endOf(result), now);
+    m_sent += result.reachedBackend ? 1 : 0;
     if (result.verdict != Verdict::Answered) {
         m_mayHaveRun = m_mayHaveRun || result.verdict == Verdict::MayHaveRun;
         return afterFailure(result, now);
@@ -143,8 +147,20 @@
         actions.add(fail(result.reason, result));
         return actions;
     }
-    const AttemptOutcome outcome{result.verdict, result.reason, isIdempotent(),
-                                 keyed,          m_attempts,    m_request.deadline - now};
+    AttemptOutcome outcome;
+    outcome.verdict = result.verdict;
+    outcome.reason = result.reason;
+    outcome.idempotent = isIdempotent();
+    outcome.reachedBackend = result.reachedBackend;
+    outcome.keyed = keyed;
+    outcome.attempts = m_attempts;
+    outcome.remainingMs = m_request.deadline - now;
+    // The route's bound holds for backend servers that were reached, the node's for all attempts.
+    if (m_request.maxAttempts > 0 && m_sent >= m_request.maxAttempts) {
+        m_counters.notRetried[indexOf(Reason::AttemptsExhausted)].fetch_add(1, std::memory_order_relaxed);
+        actions.add(fail(result.reason, result));
+        return actions;
+    }
     const RetryDecision decision = decideRetry(outcome, m_config.retry, m_budget, m_random, now);
     if (!decision.retry) {
         m_counters.notRetried[indexOf(decision.reason)].fetch_add(1, std::memory_order_relaxed);
--- a/src/core/retry.cpp
+++ b/src/core/retry.cpp
@@ -1,6 +1,7 @@
 #include "fulmarledge/retry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmarledge {
 
@@ -35,8 +36,9 @@
 
 } // namespace
 
-RetryBudget::RetryBudget(const RetryConfig &config)
+RetryBudget::RetryBudget(const RetryConfig &config, std::shared_ptr<const RetryAllowance> shared)
     : m_config(config)
+    , m_shared(std::move(shared))
 {
 }
 
@@ -75,6 +77,10 @@
             retries += retriesOf(value);
         }
     }
+    if (m_shared) {
+        return retries * 100 <= requests * m_shared->percent.load(std::memory_order_relaxed)
+            + m_shared->extraHundredths.load(std::memory_order_relaxed);
+    }
     return retries * 100 <= requests * m_config.percent + std::uint64_t{m_config.perSecond} * kSeconds * 100;
 }
 
@@ -106,6 +112,7 @@
     case Reason::Draining:
     case Reason::WrongHost:
     case Reason::ShedLoad:
+    case Reason::WrongInstance:
         return true;
     default:
         // Includes "attempts" and "retry-budget": a node further down the call chain has retried already.
@@ -131,7 +138,7 @@
     if (delay >= outcome.remainingMs) {
         return {false, 0, Reason::DeadlineExceeded};
     }
-    if (!budget.take(now)) {
+    if (outcome.reachedBackend && !budget.take(now)) {
         return {false, 0, Reason::BudgetExhausted};
     }
     return {true, delay, Reason::None};
--- a/src/core/slotguard.cpp
+++ b/src/core/slotguard.cpp
@@ -13,11 +13,6 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
-constexpr std::size_t indexOf(ServiceClass serviceClass)
-{
-    return static_cast<std::size_t>(serviceClass);
-}
-
 } // namespace
 
 SlotGuard::SlotGuard(const GuardConfig &config)
@@ -31,7 +26,7 @@
     const std::uint64_t hash = hashOf(service);
     if (hash != m_service) {
         refuseWaiting(Reason::WrongHost);
-        m_serviceMs = {0, 0};
+        m_serviceMs = {};
         m_bulkLimitedUntil = now;
     }
     m_service = hash;
@@ -49,17 +44,18 @@
     Reason reason = check(request, now);
     const bool full = m_waiting >= m_slots * m_config.queuePerSlot;
     const bool runs = m_waiting == 0 && mayStart(request.serviceClass, now);
-    if (reason == Reason::None && !runs && full && !makeRoom(request.serviceClass, hash)) {
+    if (reason == Reason::None && !runs && full && !makeRoom(request, hash)) {
         reason = Reason::QueueFull;
     }
     if (reason != Reason::None) {
-        return {GuardState::Refuse, {}, reason, static_cast<TimeMs>(std::ceil(expectedWaitMs(request.serviceClass)))};
+        return {GuardState::Refuse, {}, reason, static_cast<TimeMs>(std::ceil(expectedWaitMs(effectiveRank(request))))};
     }
     Entry &entry = m_entries.emplace_back();
     entry.id = {++m_lastId};
     entry.caller = callerIndex(hash);
     entry.deadline = request.deadline;
     entry.serviceClass = request.serviceClass;
+    entry.rank = effectiveRank(request);
     ++m_callers[entry.caller].work;
     ++m_waiting;
     if (runs) {
@@ -78,7 +74,7 @@
         return false;
     }
     const auto elapsed = static_cast<double>(now - entry->started);
-    double &mean = m_serviceMs[indexOf(entry->serviceClass)];
+    double &mean = m_serviceMs[indexOf(entry->rank)];
     if (mean == 0) {
         mean = elapsed;
     } else if (answered || elapsed > mean) {
@@ -116,7 +112,7 @@
     if (entry == nullptr) {
         return std::nullopt;
     }
-    if (!canMeet(entry->serviceClass, entry->deadline, 0, now)) {
+    if (!canMeet(entry->rank, entry->deadline, 0, now)) {
         entry->refusal = Reason::DeadlineUnreachable;
         return refuse(*entry);
     }
@@ -163,30 +159,30 @@
     if (request.deadline <= now) {
         return Reason::DeadlineExceeded;
     }
-    const double waitMs = mayStart(request.serviceClass, now) ? 0 : expectedWaitMs(request.serviceClass);
-    return canMeet(request.serviceClass, request.deadline, waitMs, now) ? Reason::None : Reason::DeadlineUnreachable;
+    const double waitMs = mayStart(request.serviceClass, now) ? 0 : expectedWaitMs(effectiveRank(request));
+    return canMeet(effectiveRank(request), request.deadline, waitMs, now) ? Reason::None : Reason::DeadlineUnreachable;
 }
 
-bool SlotGuard::canMeet(ServiceClass serviceClass, TimeMs deadline, double waitMs, TimeMs now) const
+bool SlotGuard::canMeet(std::uint32_t rank, TimeMs deadline, double waitMs, TimeMs now) const
 {
     // With nothing running the request is admitted whatever the mean says: otherwise a mean that was measured during
     // a slow spell would refuse all work and never be measured again.
     if (m_running == 0) {
         return true;
     }
-    return static_cast<double>(deadline - now) >= waitMs + m_serviceMs[indexOf(serviceClass)];
+    return static_cast<double>(deadline - now) >= waitMs + m_serviceMs[indexOf(rank)];
 }
 
-double SlotGuard::expectedWaitMs(ServiceClass serviceClass) const
+double SlotGuard::expectedWaitMs(std::uint32_t rank) const
 {
     if (m_slots == 0) {
         return 0;
     }
     // One slot has to become free, and the work that goes first has to pass through the slots.
-    double work = std::max(m_serviceMs[0], m_serviceMs[1]);
+    double work = *std::max_element(m_serviceMs.begin(), m_serviceMs.end());
     for (const Entry &entry : m_entries) {
-        if (entry.state == GuardState::Wait && indexOf(entry.serviceClass) <= indexOf(serviceClass)) {
-            work += m_serviceMs[indexOf(entry.serviceClass)];
+        if (entry.state == GuardState::Wait && entry.rank <= rank) {
+            work += m_serviceMs[indexOf(entry.rank)];
         }
     }
     return work / m_slots;
@@ -209,8 +205,8 @@
 
 bool SlotGuard::goesBefore(const Entry &a, const Entry &b) const
 {
-    if (a.serviceClass != b.serviceClass) {
-        return a.serviceClass == ServiceClass::Interactive;
+    if (a.rank != b.rank) {
+        return a.rank < b.rank;
     }
     const std::uint32_t workA = m_callers[a.caller].work;
     const std::uint32_t workB = m_callers[b.caller].work;
@@ -220,7 +216,7 @@
     return a.deadline != b.deadline ? a.deadline < b.deadline : a.id.value < b.id.value;
 }
 
-bool SlotGuard::makeRoom(ServiceClass serviceClass, std::uint64_t callerHash)
+bool SlotGuard::makeRoom(const GuardRequest &request, std::uint64_t callerHash)
 {
     Entry *last = nullptr;
     for (Entry &entry : m_entries) {
@@ -231,9 +227,9 @@
     if (last == nullptr) {
         return false;
     }
-    const bool higherClass = serviceClass == ServiceClass::Interactive && last->serviceClass == ServiceClass::Bulk;
-    const bool lessWork = serviceClass == last->serviceClass && workOf(callerHash) + 1 < m_callers[last->caller].work;
-    if (!higherClass && !lessWork) {
+    const bool lowerRank = effectiveRank(request) < last->rank;
+    const bool lessWork = effectiveRank(request) == last->rank && workOf(callerHash) + 1 < m_callers[last->caller].work;
+    if (!lowerRank && !lessWork) {
         return false;
     }
     last->refusal = Reason::QueueFull;
@@ -271,7 +267,7 @@
 GuardDecision SlotGuard::refuse(Entry &entry)
 {
     const GuardDecision decision{GuardState::Refuse, entry.id, entry.refusal,
-                                 static_cast<TimeMs>(std::ceil(expectedWaitMs(entry.serviceClass)))};
+                                 static_cast<TimeMs>(std::ceil(expectedWaitMs(entry.rank)))};
     m_waiting -= entry.state == GuardState::Wait ? 1 : 0;
     remove(entry);
     publish();
--- a/src/core/snapshot.cpp
+++ b/src/core/snapshot.cpp
@@ -1,20 +1,109 @@
 #include "fulmarledge/snapshot.h"
 
 #include <algorithm>
+#include <cctype>
+#include <cmath>
 #include <unordered_map>
 
 namespace fulmarledge {
 
+namespace {
+
+/// Fractional part of the golden ratio. Its multiples modulo 1 are a low-discrepancy sequence: each stretch of it fills
+/// the unit interval evenly.
+constexpr double kGoldenFraction = 0.61803398874989485;
+
+std::string hostKey(std::string_view host)
+{
+    std::string key(host.substr(0, host.find(':')));
+    std::transform(key.begin(), key.end(), key.begin(),
+                   [](char c) { return static_cast<char>(std::tolower(static_cast<unsigned char>(c))); });
+    return key;
+}
+
+} // namespace
+
+ServiceHandle TableRoute::pick() const
+{
+    if (targets.size() == 1) {
+        return targets.front();
+    }
+    const auto number = static_cast<double>(picks.fetch_add(1, std::memory_order_relaxed));
+    const double place = number * kGoldenFraction;
+    double left = (place - std::floor(place)) * static_cast<double>(totalWeight);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        left -= spec.targets[i].weight;
+        if (left < 0) {
+            return targets[i];
+        }
+    }
+    return targets.back();
+}
+
+std::shared_ptr<const RouteTable> RouteTable::build(const Manifest &manifest)
+{
+    auto table = std::make_shared<RouteTable>();
+    std::unordered_map<std::string_view, ServiceHandle> services;
+    for (const auto &[name, spec] : manifest.services()) {
+        services.emplace(name, ServiceHandle{static_cast<std::uint32_t>(services.size())});
+    }
+    for (const auto &[key, spec] : manifest.routes()) {
+        const RouteHandle handle{static_cast<std::uint32_t>(table->m_routes.size())};
+        TableRoute &route = table->m_routes.emplace_back();
+        route.spec = spec;
+        for (const RouteTarget &target : spec.targets) {
+            route.targets.push_back(services.at(target.service));
+            route.totalWeight += target.weight;
+        }
+        // Tables of two nodes start at different places, so that their first picks do not fall on one target.
+        route.picks = std::hash<const void *>{}(table.get()) >> 6U;
+        table->m_hosts[spec.host].emplace(spec.pathPrefix, handle);
+    }
+    return table;
+}
+
+RouteHandle RouteTable::longest(const Prefixes &prefixes, std::string_view path)
+{
+    while (true) {
+        // "/a/b/" begins a longer path, "/a/b" matches the whole segments.
+        const auto found = prefixes.find(path.empty() ? std::string_view("/") : path);
+        if (found != prefixes.end()) {
+            return found->second;
+        }
+        if (path.empty() || path == "/") {
+            return {};
+        }
+        path = path.back() == '/' ? path.substr(0, path.size() - 1) : path.substr(0, path.rfind('/') + 1);
+    }
+}
+
+RouteHandle RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const auto named = m_hosts.find(hostKey(host));
+    if (named != m_hosts.end()) {
+        const RouteHandle handle = longest(named->second, path);
+        if (isValid(handle)) {
+            return handle;
+        }
+    }
+    const auto any = m_hosts.find(std::string_view());
+    return any == m_hosts.end() ? RouteHandle{} : longest(any->second, path);
+}
+
 std::shared_ptr<const Snapshot> Snapshot::build(Version version, const Manifest &manifest,
-                                                std::span<const wire::HostRecord> hosts)
+                                                std::span<const wire::HostRecord> hosts,
+                                                std::shared_ptr<const RouteTable> routes)
 {
     std::unordered_map<std::string_view, const wire::HostRecord *> recordOf;
+    std::unordered_map<std::string_view, std::vector<const wire::HostRecord *>> announced;
     recordOf.reserve(hosts.size());
     for (const wire::HostRecord &record : hosts) {
         recordOf.emplace(record.host, &record);
+        announced[record.serviceName].push_back(&record);
     }
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->m_version = version;
+    snapshot->m_routes = routes ? std::move(routes) : RouteTable::build(manifest);
     for (const auto &[name, spec] : manifest.services()) {
         const ServiceHandle handle{static_cast<std::uint32_t>(snapshot->m_services.size())};
         const auto first = static_cast<std::uint32_t>(snapshot->m_backends.size());
@@ -27,26 +116,21 @@
             }
             snapshot->m_backends.push_back(std::move(backend));
         }
-        snapshot->m_services.push_back({spec, first, static_cast<std::uint32_t>(spec.backendServers.size())});
-    }
-    for (const auto &[prefix, service] : manifest.routes()) {
-        snapshot->m_routes.emplace(prefix, snapshot->findService(service));
+        if (spec.backendServers.empty()) {
+            for (const wire::HostRecord *record : announced[name]) {
+                snapshot->m_backends.push_back({record->host, handle, *record});
+            }
+        }
+        const auto count = static_cast<std::uint32_t>(snapshot->m_backends.size()) - first;
+        snapshot->m_services.push_back({spec, first, count});
     }
     return snapshot;
 }
 
 ServiceHandle Snapshot::route(std::string_view path) const
 {
-    while (true) {
-        const auto found = m_routes.find(path.empty() ? std::string_view("/") : path);
-        if (found != m_routes.end()) {
-            return found->second;
-        }
-        if (path.empty() || path == "/") {
-            return {};
-        }
-        path = path.substr(0, path.rfind('/'));
-    }
+    const RouteHandle handle = m_routes->find({}, path);
+    return isValid(handle) ? m_routes->route(handle).targets.front() : ServiceHandle{};
 }
 
 ServiceHandle Snapshot::findService(std::string_view name) const
@@ -68,21 +152,26 @@
 
 std::vector<std::string> Snapshot::routesOf(ServiceHandle handle) const
 {
-    std::vector<std::string> prefixes;
-    for (const auto &[prefix, target] : m_routes) {
-        if (target.idx == handle.idx) {
-            prefixes.push_back(prefix);
+    std::vector<std::string> keys;
+    for (const TableRoute &route : m_routes->routes()) {
+        const auto leads = [handle](ServiceHandle target) { return target.idx == handle.idx; };
+        if (std::any_of(route.targets.begin(), route.targets.end(), leads)) {
+            keys.push_back(route.spec.key());
         }
     }
-    return prefixes;
+    return keys;
 }
 
 bool Snapshot::isConsistent() const
 {
-    const bool routesHold = std::all_of(m_routes.begin(), m_routes.end(),
-                                        [&](const auto &entry) { return entry.second.idx < m_services.size(); });
+    const auto isHeld = [this](ServiceHandle target) { return target.idx < m_services.size(); };
+    const bool routesHold
+        = std::all_of(m_routes->routes().begin(), m_routes->routes().end(), [&](const TableRoute &route) {
+              return !route.targets.empty() && std::all_of(route.targets.begin(), route.targets.end(), isHeld);
+          });
     return routesHold && std::all_of(m_services.begin(), m_services.end(), [&](const SnapshotService &service) {
-               return service.backendCount > 0
+               // A service known by announcement may have no backend server yet.
+               return (service.backendCount > 0 || service.spec.backendServers.empty())
                    && std::size_t{service.firstBackend} + service.backendCount <= m_backends.size();
            });
 }
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -45,6 +45,8 @@
         "depth",
         "key-reused",
         "answer-not-kept",
+        "foreign-answer",
+        "wrong-instance",
     };
     const auto index = static_cast<std::size_t>(reason);
     return index < kNames.size() ? kNames[index] : "unknown";
--- a/src/programs/node_backend.h
+++ b/src/programs/node_backend.h
@@ -17,6 +17,8 @@
     int slots = 0;
     wire::HostState::type state = wire::HostState::Starting;
     int load = 0;
+    std::string ip; ///< empty for the address of the node
+    std::string instance; ///< id of its process, empty when it has none
 
     bool operator==(const Announcement &) const = default;
 
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -7,7 +7,7 @@
 #include "fulmarledge/controlnode.h"
 #include "httpclient.h"
 #include "httpserver.h"
-#include "httpstore.h"
+#include "nativeenvironment.h"
 #include "ioloop.h"
 #include "log.h"
 #include "metrics.h"
@@ -16,6 +16,7 @@
 #include "node_settings.h"
 #include "peersocket.h"
 #include "requestpath.h"
+#include "usersplatform.h"
 
 namespace fulmarledge {
 
@@ -28,6 +29,20 @@
 constexpr std::size_t kKeptActivations = 256;
 constexpr std::size_t kMaxAdminBodyBytes = 64 * 1024;
 constexpr long kPlatformConnections = 4;
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+/// Part of the fleet's retry budget that is used. The rest covers views of the fleet that differ for a short time.
+constexpr double kRetryShare = 0.75;
+
+std::unique_ptr<Environment> makeEnvironment(const NodeSettings &settings)
+{
+    if (settings.usersPlatform) {
+        return std::make_unique<UsersPlatform>();
+    }
+    return std::make_unique<NativeEnvironment>();
+}
 
 class SystemRandom : public RandomSource
 {
@@ -65,10 +80,12 @@
         , m_metrics(settings.host, settings.zone)
         , m_log(makeEventLog(settings.host, settings.zone))
         , m_client(m_loop, kPlatformConnections)
-        , m_store(m_client, m_metrics, {settings.platform})
+        , m_environment(makeEnvironment(settings))
+        , m_store(m_environment->makeStore(m_client, m_metrics, *m_log, settings.platform))
         , m_peers(m_loop, m_metrics)
-        , m_requests(settings.requests, m_metrics)
-        , m_control(settings.control, ownRecord(settings), m_peers, m_store, m_random, m_metrics, *m_log, *this)
+        , m_allowance(settings.retryRatio > 0 ? std::make_shared<RetryAllowance>() : nullptr)
+        , m_requests(requestSettings(), m_metrics)
+        , m_control(settings.control, ownRecord(settings), m_peers, *m_store, m_random, m_metrics, *m_log, *this)
     {
     }
 
@@ -87,12 +104,24 @@
         m_admin = std::make_unique<HttpServer>(
             HttpServer::Settings{{m_settings.address, m_settings.adminPort}, 1, kMaxAdminBodyBytes},
             [this](HttpCall call) { m_loop.post([this, call = std::move(call)] { onAdmin(call); }); });
+        if (m_settings.announceAddress) {
+            m_announcements = std::make_unique<HttpServer>(
+                HttpServer::Settings{*m_settings.announceAddress, 1, kMaxAdminBodyBytes},
+                [this](HttpCall call) { m_loop.post([this, call = std::move(call)] { onNotice(call); }); });
+        }
+        if (m_settings.readyAddress) {
+            m_readiness = std::make_unique<HttpServer>(
+                HttpServer::Settings{*m_settings.readyAddress, 1, kMaxAdminBodyBytes},
+                [this](HttpCall call) { m_loop.post([this, call = std::move(call)] { onReadinessCall(call); }); });
+        }
         scheduleTick();
         m_log->event("started",
                      "address=" + m_settings.address + " caller_port=" + std::to_string(m_settings.callerPort)
                          + " version=0");
         m_loop.run();
         m_admin->stop();
+        m_announcements.reset();
+        m_readiness.reset();
         m_requests.stop();
         logEvent("stopped", "");
         return 0;
@@ -125,7 +154,7 @@
     {
         m_ready = ready;
         m_notReadyReason = reason;
-        m_requests.setReady(ready && !m_leaving, m_leaving ? Reason::Draining : reason);
+        m_requests.setReady(ready && !m_refusing, m_refusing ? Reason::Draining : reason);
     }
 
     void scheduleTick()
@@ -137,6 +166,7 @@
                 m_platformSeenMs = now;
             }
             checkBackend(now);
+            shareRetries();
             scheduleTick();
         });
     }
@@ -182,12 +212,89 @@
 
     void applyBackend(TimeMs now)
     {
-        m_requests.setLocalBackend({m_settings.address, m_backend->port}, m_backend->service,
-                                   static_cast<std::uint32_t>(m_backend->slots), m_backend->state, m_backend->load);
+        const std::string &ip = m_backend->ip.empty() ? m_settings.address : m_backend->ip;
+        m_requests.setLocalBackend({ip, m_backend->port}, m_backend->service,
+                                   static_cast<std::uint32_t>(m_backend->slots), m_backend->state, m_backend->load,
+                                   m_backend->instance);
         m_control.setLocalState(now, m_leaving ? wire::HostState::Draining : m_backend->state, m_backend->service,
                                 m_backend->slots);
     }
 
+    /// An announcement on the announcement address. Acknowledged once the guard of the backend server follows it.
+    void onNotice(const HttpCall &call)
+    {
+        LastReason error;
+        const auto notice = m_environment->readNotice(call, error);
+        const bool foreign = notice && !notice->leaves && !m_settings.backendService.empty()
+            && notice->service != m_settings.backendService;
+        if (!notice || foreign) {
+            m_metrics.count("announcements-refused", "", 1);
+            logEvent("announcement-refused",
+                     "reason=" + (foreign ? "service " + notice->service + " is not on this host" : error.text()));
+            call.responder->send(kBadRequest, {}, "");
+            return;
+        }
+        const TimeMs now = monotonicMs();
+        const NoticeEffect effect = m_life.apply(*notice, now);
+        if (effect == NoticeEffect::Stale) {
+            logEvent("announcement-stale",
+                     "instance=" + notice->instance + " sequence=" + std::to_string(notice->sequence));
+        } else {
+            m_announcedMs = now;
+            followLife(effect == NoticeEffect::Applied || !m_backend, now);
+        }
+        call.responder->send(kOk, {}, "");
+    }
+
+    void followLife(bool changed, TimeMs now)
+    {
+        if (!changed) {
+            return;
+        }
+        const BackendNotice &current = m_life.current();
+        Announcement announcement;
+        announcement.service = current.service;
+        announcement.ip = current.address.ip;
+        announcement.port = current.address.port;
+        announcement.slots = current.slots;
+        announcement.state = current.state;
+        announcement.instance = current.instance;
+        m_backend = announcement;
+        logEvent("backend-" + std::string(stateName(current.state)),
+                 "service=" + current.service + " instance=" + current.instance + " born=" + std::to_string(current.bornMs)
+                     + " sequence=" + std::to_string(current.sequence) + (current.leaves ? " leaves" : ""));
+        applyBackend(now);
+    }
+
+    void onReadinessCall(const HttpCall &call)
+    {
+        if (!m_environment->isReadinessCall(call)) {
+            call.responder->send(kNotFound, {}, "");
+            return;
+        }
+        call.responder->send(m_ready && !m_leaving ? kOk : kUnavailable, {}, "");
+    }
+
+    /// Divides the fleet's retry budget by the number of live nodes.
+    void shareRetries()
+    {
+        if (!m_allowance) {
+            return;
+        }
+        const auto nodes = static_cast<double>(std::max<std::size_t>(m_control.membership().liveCount(), 1));
+        const double extra = m_settings.retryExtra * kRetryShare / nodes;
+        m_allowance->percent = static_cast<std::uint32_t>(m_settings.retryRatio * kRetryShare * 100);
+        m_allowance->extraHundredths = static_cast<std::uint32_t>(extra * 100);
+    }
+
+    RequestPathSettings requestSettings() const
+    {
+        RequestPathSettings result = m_settings.requests;
+        result.retryAllowance = m_allowance;
+        result.dialect = m_environment->makeDialect(m_settings.backendService);
+        return result;
+    }
+
     void onAdmin(const HttpCall &call)
     {
         if (call.method == "POST" && call.path == "/v1/announce") {
@@ -231,10 +338,15 @@
         sigemptyset(&signals);
         sigaddset(&signals, SIGTERM);
         sigaddset(&signals, SIGINT);
+        sigaddset(&signals, SIGHUP);
         m_signals = Socket(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
         m_loop.addFd(m_signals.fd(), EPOLLIN, [this](std::uint32_t) {
             signalfd_siginfo info{};
             [[maybe_unused]] const ssize_t got = ::read(m_signals.fd(), &info, sizeof(info));
+            if (info.ssi_signo == SIGHUP) {
+                logEvent("reload", "");
+                return;
+            }
             beginLeave();
         });
     }
@@ -247,9 +359,25 @@
         }
         m_leaving = true;
         logEvent("draining", "planned stop");
-        m_requests.setReady(false, Reason::Draining);
         m_control.setLocalState(monotonicMs(), wire::HostState::Draining, m_backend ? m_backend->service : "",
                                 m_backend ? m_backend->slots : 0);
+        if (m_settings.graceMs > 0) {
+            m_loop.runAfter(m_settings.graceMs, [this] {
+                logEvent("grace-over", "outstanding=" + std::to_string(m_requests.stats().outstanding));
+                m_loop.stop();
+            });
+        }
+        if (m_settings.handoverMs > 0) {
+            m_loop.runAfter(m_settings.handoverMs, [this] { refuseWork(); });
+        } else {
+            refuseWork();
+        }
+    }
+
+    void refuseWork()
+    {
+        m_refusing = true;
+        m_requests.setReady(false, Reason::Draining);
         m_requests.drain([this] { m_loop.post([this] { leaveWhenIdle(); }); });
     }
 
@@ -272,21 +400,27 @@
     std::unique_ptr<EventLog> m_log;
     SystemRandom m_random;
     HttpClient m_client;
-    HttpStore m_store;
+    std::unique_ptr<Environment> m_environment;
+    std::unique_ptr<PlatformStore> m_store;
     PeerSocket m_peers;
+    std::shared_ptr<RetryAllowance> m_allowance;
     RequestPath m_requests;
     ControlNode m_control;
     std::unique_ptr<HttpServer> m_admin;
+    std::unique_ptr<HttpServer> m_announcements;
+    std::unique_ptr<HttpServer> m_readiness;
     Socket m_signals;
     std::shared_ptr<const Snapshot> m_snapshot;
     std::deque<ActivationTime> m_activations;
     std::optional<Announcement> m_backend;
+    BackendLife m_life;
     const std::int64_t m_startedMs = wallClockMs();
     TimeMs m_announcedMs = 0;
     TimeMs m_platformSeenMs = monotonicMs();
     bool m_ready = false;
     Reason m_notReadyReason = Reason::NotReady;
-    bool m_leaving = false;
+    bool m_leaving = false; ///< a planned stop has begun
+    bool m_refusing = false; ///< callers are refused because of it
 };
 
 /// Signals are taken by the control thread alone, so every thread starts with them blocked.
@@ -296,6 +430,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
 }
--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -23,6 +23,14 @@
     schema.addPort("node.control_port", "UDP and TCP port for control messages of other nodes", "8082",
                    settings.controlPort);
     schema.addPort("node.hop_port", "TCP port for requests of other nodes", "8083", settings.hopPort);
+    schema.addChoice("platform.kind", "own: the project's object API; users: the users' platform", "own", {"own", "users"},
+                     [&settings](std::size_t choice) { settings.usersPlatform = choice == 1; });
+    schema.addOptionalAddress("node.caller_address", "IP:PORT for callers, in place of address and caller_port",
+                              settings.callerAddress);
+    schema.addOptionalAddress("node.announce_address", "IP:PORT for the backend server's announcements",
+                              settings.announceAddress);
+    schema.addOptionalAddress("node.ready_address", "IP:PORT for readiness checks", settings.readyAddress);
+    schema.addText("backend.service", "service of the backend server beside this node", "", settings.backendService);
     schema.addAddress("platform.address", "IP:PORT of the platform's object API", std::nullopt, settings.platform);
 
     schema.addInteger("fleet.expected_hosts",
@@ -62,6 +70,20 @@
                        60000, settings.announceTimeoutMs);
     schema.addDuration("node.leave_delay", "time from the announcement of a planned stop to the exit of an idle node",
                        "1s", 0, 60000, settings.leaveDelayMs);
+    schema.addDuration("node.handover_time",
+                       "time from SIGTERM during which callers are still served while readiness is denied", "0ms", 0,
+                       60000, settings.handoverMs);
+    schema.addDuration("node.grace_time", "time from SIGTERM to the exit of a node that is still busy; 0 waits", "0ms",
+                       0, 600000, settings.graceMs);
+    schema.addDuration("spread.replicate_limit",
+                       "longest wait for a second holder before a version read from the platform is run; 0 waits",
+                       "0ms", 0, 60000, spread.replicateLimitMs);
+    schema.addNumber("retry.shared_ratio", "retries of the whole fleet as a share of requests; 0: each node's own budget",
+                     "0", 0, 1, settings.retryRatio);
+    schema.addNumber("retry.shared_extra", "further retries of the whole fleet in 10 s", "0", 0, 1000000,
+                     settings.retryExtra);
+    schema.addDuration("backend.slow_start", "time in which a backend server that joins gets less than its share",
+                       "10s", 0, 600000, requests.balancer.slowStartMs);
     schema.addChoice("log.level", "error, warn, info or debug", "info", {"error", "warn", "info", "debug"},
                      [&settings](std::size_t choice) {
                          static constexpr const char *kLevels[] = {"error", "warn", "info", "debug"};
@@ -77,7 +99,7 @@
     settings.control.membership.contactReadsPerSecond = kContactReadsPerSecond;
     settings.requests.host = settings.host;
     settings.requests.zone = settings.zone;
-    settings.requests.caller = {settings.address, settings.callerPort};
+    settings.requests.caller = settings.callerAddress.value_or(SocketAddress{settings.address, settings.callerPort});
     settings.requests.hop = {settings.address, settings.hopPort};
 }
 
--- a/src/programs/node_settings.h
+++ b/src/programs/node_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "fulmarledge/controlnode.h"
@@ -17,10 +18,19 @@
     std::uint16_t controlPort = 0;
     std::uint16_t hopPort = 0;
     SocketAddress platform;
+    bool usersPlatform = false; ///< speaks with the users' platform instead of the project's own interface
+    std::optional<SocketAddress> callerAddress; ///< replaces `address` and `callerPort` for callers
+    std::optional<SocketAddress> announceAddress; ///< for the backend server's announcements, besides the admin port
+    std::optional<SocketAddress> readyAddress; ///< for readiness checks, besides the admin port
+    std::string backendService; ///< service of the backend server beside this node, empty when not known
     std::string logLevel;
     int expectedHosts = 0;
     TimeMs announceTimeoutMs = 0;
     TimeMs leaveDelayMs = 0;
+    TimeMs handoverMs = 0;
+    TimeMs graceMs = 0;
+    double retryRatio = 0; ///< of the budget that all nodes share; 0 for a budget of each node
+    double retryExtra = 0;
     ControlSettings control;
     RequestPathSettings requests;
 };
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -44,6 +44,8 @@
   3: list<string> removedServices
   4: list<string> routes
   5: list<string> removedRoutes
+  // Canonical JSON text, set when the limits changed.
+  6: optional string limits
 }
 
 // A version as a delta, or in full when `delta` is not set.
@@ -107,6 +109,10 @@
   10: string caller
   11: bool bulk
   12: i64 version
+  // Name under which the caller addressed the system, forwarded to the backend server when set.
+  13: optional string hostName
+  // Rank of the route, 0 first. Not set: the rank follows from `bulk`.
+  14: optional i32 rank
 }
 
 struct HopResponse {
