--- a/include/fulmarledge/manifest.h
+++ b/include/fulmarledge/manifest.h
@@ -24,6 +24,9 @@
     Download, ///< safe, with large answers
 };
 
+/// Lower-case name of a kind.
+std::string_view kindName(RequestKind kind);
+
 struct ServiceSpec {
     std::string name;
     /// Host names that may take the service's requests. Empty: every host whose backend server announces the service.
--- a/include/fulmarledge/retry.h
+++ b/include/fulmarledge/retry.h
@@ -55,10 +55,10 @@
     Verdict verdict = Verdict::MayHaveRun;
     Reason reason = Reason::None;
     bool idempotent = false; ///< the service lists the method as idempotent
-    bool reachedBackend = true; ///< false when it was refused before it was sent to a backend server
     bool keyed = false; ///< carries an idempotency key: its owner answers for it
     std::uint32_t attempts = 1; ///< attempts made, this one included
     TimeMs remainingMs = 0; ///< until the deadline
+    bool reachedBackend = true; ///< false when it was refused before it was sent to a backend server
 };
 
 struct RetryDecision {
--- a/src/adapters/backendcalls.cpp
+++ b/src/adapters/backendcalls.cpp
@@ -52,10 +52,11 @@
 } // namespace
 
 BackendCalls::BackendCalls(IoLoop &loop, LocalBackend &backend, const RequestDialect &dialect,
-                           std::size_t maxAnswerBytes)
+                           DecisionLog &decisions, std::size_t maxAnswerBytes)
     : m_loop(loop)
     , m_backend(backend)
     , m_dialect(dialect)
+    , m_decisions(decisions)
     , m_maxAnswerBytes(maxAnswerBytes)
     , m_client(loop, kIdleConnections)
 {
@@ -81,6 +82,7 @@
     Job &job = m_jobs[id];
     job.request = std::move(request);
     job.deadline = deadline;
+    job.received = monotonicMs();
     job.done = std::move(done);
     job.entry = admission.entry;
     job.key = admission.key;
@@ -165,6 +167,9 @@
     if (found == m_jobs.end()) {
         return;
     }
+    if (response.verdict != wire::Verdict::Answered) {
+        logFailure(found->second, response);
+    }
     const Done done = std::move(found->second.done);
     m_jobs.erase(found);
     response.__set_outstanding(
@@ -172,6 +177,23 @@
     done(std::move(response));
 }
 
+void BackendCalls::logFailure(const Job &job, const wire::HopResponse &response)
+{
+    const TimeMs now = monotonicMs();
+    if (!m_decisions.takeFailure(now)) {
+        return;
+    }
+    m_decisions.write(
+        "at=guard request=" + job.request.requestId + " service=" + job.request.serviceName
+        + " outcome=" + std::string(verdictName(static_cast<Verdict>(response.verdict)))
+        + " reason=" + std::string(reasonName(static_cast<Reason>(response.reason)))
+        + " sent=" + (job.running ? "yes" : "no") + " instance=" + job.instance + " rank=" + std::to_string(job.request.rank)
+        + " load=" + std::to_string(m_backend.gauge()->outstanding.load(std::memory_order_relaxed))
+        + " slots=" + std::to_string(m_backend.slots()) + " age_ms=" + std::to_string(now - job.received)
+        + " left_ms=" + std::to_string(job.deadline - now)
+        + " retry_after_ms=" + std::to_string(response.retryAfterMs));
+}
+
 void BackendCalls::cancel(std::uint64_t id)
 {
     const auto found = m_jobs.find(id);
--- a/src/adapters/backendcalls_p.h
+++ b/src/adapters/backendcalls_p.h
@@ -8,6 +8,7 @@
 #include "httpclient.h"
 #include "ioloop.h"
 #include "localbackend_p.h"
+#include "log.h"
 #include "requestdialect.h"
 
 namespace fulmarledge {
@@ -18,7 +19,8 @@
 public:
     using Done = std::function<void(wire::HopResponse &&)>;
 
-    BackendCalls(IoLoop &loop, LocalBackend &backend, const RequestDialect &dialect, std::size_t maxAnswerBytes);
+    BackendCalls(IoLoop &loop, LocalBackend &backend, const RequestDialect &dialect,
+                 DecisionLog &decisions, std::size_t maxAnswerBytes);
     ~BackendCalls();
     BackendCalls(const BackendCalls &) = delete;
     BackendCalls &operator=(const BackendCalls &) = delete;
@@ -36,6 +38,7 @@
         KeyEntryId key;
         TransferId transfer;
         std::string instance; ///< backend server that it was sent to
+        TimeMs received = 0;
         bool running = false;
         bool head = false;
     };
@@ -45,11 +48,13 @@
     void dispatch(std::uint64_t id);
     void onResult(std::uint64_t id, HttpResult result);
     void finish(std::uint64_t id, wire::HopResponse response);
+    void logFailure(const Job &job, const wire::HopResponse &response);
     void armWakeup();
 
     IoLoop &m_loop;
     LocalBackend &m_backend;
     const RequestDialect &m_dialect;
+    DecisionLog &m_decisions;
     std::size_t m_maxAnswerBytes;
     long m_idleSeconds = 0; ///< idle time after which the backend server may close a connection; 0 when not stated
     HttpClient m_client;
--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -10,6 +10,7 @@
 
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
+constexpr int kFirstServerError = 500;
 /// Told to callers that a node cannot serve yet.
 constexpr TimeMs kNotServableRetryMs = 1000;
 
@@ -39,8 +40,15 @@
 {
 }
 
-void sendRefusal(PathState &state, HttpResponder &responder, int status, Reason reason, const std::string &detail)
+void sendRefusal(PathState &state, const HttpCall &call, int status, Reason reason, const std::string &detail)
 {
+    if (state.decisions.takeFailure(monotonicMs())) {
+        LastReason ignored;
+        const auto caller = state.settings.dialect->parseCaller(call, ignored);
+        state.decisions.write("at=entry request=" + (caller ? caller->requestId : std::string("unreadable"))
+                              + " outcome=not-run reason=" + std::string(reasonName(reason))
+                              + " status=" + std::to_string(status) + " path=" + call.path);
+    }
     state.refused.fetch_add(1, std::memory_order_relaxed);
     state.metrics.countRefusal(reason);
     state.metrics.countVerdict(Verdict::NotRun);
@@ -50,7 +58,7 @@
     notes.retryAfterMs = kNotServableRetryMs;
     HttpFields fields;
     state.settings.dialect->addAnswerFields(notes, fields);
-    responder.send(status, fields, detail.empty() ? std::string() : detail + "\n");
+    call.responder->send(status, fields, detail.empty() ? std::string() : detail + "\n");
 }
 
 std::uint64_t DataWorker::Random::below(std::uint64_t bound)
@@ -60,7 +68,7 @@
 
 DataWorker::DataWorker(PathState &state)
     : m_state(state)
-    , m_calls(m_loop, state.backend, *state.settings.dialect, state.settings.maxAnswerBytes)
+    , m_calls(m_loop, state.backend, *state.settings.dialect, state.decisions, state.settings.maxAnswerBytes)
     , m_hopClient(m_loop, state.settings.hopConfig)
     , m_hopServer(m_loop, state.settings.hopConfig,
                   {[this](HopCallId call, wire::HopRequest &&request) { onHopRequest(call, std::move(request)); },
@@ -108,7 +116,7 @@
         route = work.routing->view->snapshot().routes().find(fieldValue(call.fields, "Host"), call.path);
     }
     if (!isValid(route)) {
-        sendRefusal(m_state, *call.responder, work.routing ? kNotFound : kUnavailable,
+        sendRefusal(m_state, call, work.routing ? kNotFound : kUnavailable,
                     work.routing ? Reason::NoRoute : Reason::NotReady, "no route for this path");
         m_state.outstanding.fetch_sub(1, std::memory_order_relaxed);
         m_state.outstandingBytes.fetch_sub(call.body.size(), std::memory_order_relaxed);
@@ -129,6 +137,8 @@
     work.serviceName = spec.name;
     work.bulk = spec.serviceClass == ServiceClass::Bulk;
     work.version = snapshot.version();
+    work.routeKey = route.spec.key();
+    work.kind = route.spec.kind;
     work.target = call.path + call.query;
     if (route.spec.kind != RequestKind::ByMethod) {
         work.rank = route.spec.priority;
@@ -180,6 +190,7 @@
             break;
         case ActionKind::Wait:
             m_state.metrics.countRetry(work.lastReason);
+            logRetry(work, action.until - monotonicMs());
             backoff(id, work, action.until);
             break;
         case ActionKind::Cancel:
@@ -222,8 +233,10 @@
 void DataWorker::dispatch(std::uint64_t id, Work &work, const SessionAction &action)
 {
     work.attempt = action.attempt;
+    work.dispatched = monotonicMs();
     m_state.dispatched.fetch_add(1, std::memory_order_relaxed);
     const AttemptId attempt = action.attempt;
+    work.lastHost = work.session->view()->backend(action.backend).host;
     if (action.ownHost) {
         work.localCall = m_calls.execute(hopRequest(work, action), action.until,
                                          [this, id, attempt](wire::HopResponse &&response) {
@@ -247,6 +260,7 @@
         return;
     }
     Work &work = found->second;
+    m_state.metrics.observeLeg(RequestLeg::Attempt, monotonicMs() - work.dispatched);
     work.localCall = 0;
     work.hopCall = 0;
     work.response = std::move(response);
@@ -261,6 +275,37 @@
     act(id, work.session->attemptFinished(attempt, result, monotonicMs()));
 }
 
+std::string DataWorker::describe(const Work &work, TimeMs now) const
+{
+    return "at=entry request=" + work.request->fields.requestId + " route=" + work.routeKey
+        + " kind=" + std::string(kindName(work.kind)) + " service=" + work.serviceName
+        + " version=" + std::to_string(work.version) + " attempts=" + std::to_string(work.session->attempts())
+        + " last_host=" + work.lastHost + " age_ms=" + std::to_string(now - work.request->received)
+        + " left_ms=" + std::to_string(work.deadline - now);
+}
+
+void DataWorker::logRetry(const Work &work, TimeMs delayMs)
+{
+    const TimeMs now = monotonicMs();
+    if (m_state.decisions.takeFailure(now)) {
+        m_state.decisions.write(describe(work, now) + " outcome=retry reason=" + std::string(reasonName(work.lastReason))
+                                + " delay_ms=" + std::to_string(delayMs));
+    }
+}
+
+void DataWorker::logAnswer(const Work &work, const SessionAction &action, TimeMs now)
+{
+    const bool good = action.verdict == Verdict::Answered && action.status < kFirstServerError;
+    if (good ? !m_state.decisions.takeAnswered() : !m_state.decisions.takeFailure(now)) {
+        return;
+    }
+    m_state.decisions.write(describe(work, now) + " outcome=" + std::string(verdictName(action.verdict))
+                            + " reason=" + std::string(reasonName(action.reason))
+                            + " last_reason=" + std::string(reasonName(work.lastReason))
+                            + " status=" + std::to_string(action.status)
+                            + " retry_after_ms=" + std::to_string(action.retryAfterMs));
+}
+
 void DataWorker::backoff(std::uint64_t id, Work &work, TimeMs until)
 {
     work.backoff = m_loop.runAfter(until - monotonicMs(), [this, id] {
@@ -293,6 +338,9 @@
     m_state.outstanding.fetch_sub(1, std::memory_order_relaxed);
     m_state.outstandingBytes.fetch_sub(work.request->call.body.size(), std::memory_order_relaxed);
     m_state.metrics.countVerdict(action.verdict);
+    const TimeMs now = monotonicMs();
+    m_state.metrics.observeRequest(work.kind, action.verdict, now - work.request->received);
+    logAnswer(work, action, now);
     HttpFields fields;
     std::string body;
     if (action.verdict == Verdict::Answered) {
@@ -315,8 +363,10 @@
 
 void DataWorker::onHopRequest(HopCallId call, wire::HopRequest &&request)
 {
-    const TimeMs deadline = monotonicMs() + std::max<std::int32_t>(request.deadlineMs, 1);
-    m_hopCalls[call] = m_calls.execute(std::move(request), deadline, [this, call](wire::HopResponse &&response) {
+    const TimeMs now = monotonicMs();
+    const TimeMs deadline = now + std::max<std::int32_t>(request.deadlineMs, 1);
+    m_hopCalls[call] = m_calls.execute(std::move(request), deadline, [this, call, now](wire::HopResponse &&response) {
+        m_state.metrics.observeLeg(RequestLeg::Guard, monotonicMs() - now);
         m_hopCalls.erase(call);
         m_hopServer.reply(call, std::move(response));
     });
--- a/src/adapters/dataworker_p.h
+++ b/src/adapters/dataworker_p.h
@@ -14,6 +14,7 @@
 #include "fulmarledge/requestsession.h"
 #include "hop.h"
 #include "httpserver.h"
+#include "log.h"
 #include "localbackend_p.h"
 #include "metrics.h"
 #include "requestdialect.h"
@@ -31,6 +32,7 @@
     LocalBackend backend;
     ViewHolder views;
     RequestCounters counters;
+    DecisionLog decisions;
     std::atomic<std::uint64_t> nextRequest{1};
     std::atomic<std::uint64_t> outstanding{0};
     std::atomic<std::uint64_t> outstandingBytes{0};
@@ -46,7 +48,7 @@
 };
 
 /// Sends a refusal by the entry node itself.
-void sendRefusal(PathState &state, HttpResponder &responder, int status, Reason reason, const std::string &detail);
+void sendRefusal(PathState &state, const HttpCall &call, int status, Reason reason, const std::string &detail);
 
 /// One data thread: sessions of callers' requests, hop connections and calls of the backend server.
 class DataWorker
@@ -85,10 +87,14 @@
         std::unique_ptr<RequestSession> session;
         std::string target;
         std::string serviceName;
+        std::string routeKey;
+        std::string lastHost; ///< of the last attempt
+        RequestKind kind = RequestKind::ByMethod;
         Version version = 0;
         bool bulk = false;
         std::optional<std::uint32_t> rank; ///< of the route, when the manifest gives one
         TimeMs deadline = 0;
+        TimeMs dispatched = 0; ///< start of the last attempt
         TimerId timer; ///< deadline
         TimerId backoff;
         AttemptId attempt;
@@ -104,6 +110,9 @@
     void dispatch(std::uint64_t id, Work &work, const SessionAction &action);
     wire::HopRequest hopRequest(const Work &work, const SessionAction &action) const;
     void attemptFinished(std::uint64_t id, AttemptId attempt, wire::HopResponse &&response, bool reported);
+    void logRetry(const Work &work, TimeMs delayMs);
+    void logAnswer(const Work &work, const SessionAction &action, TimeMs now);
+    std::string describe(const Work &work, TimeMs now) const;
     void backoff(std::uint64_t id, Work &work, TimeMs until);
     void cancelAttempt(Work &work);
     void answer(std::uint64_t id, const SessionAction &action);
--- /dev/null
+++ b/src/adapters/linewriter.cpp
@@ -0,0 +1,110 @@
+#include "linewriter_p.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
+
+namespace fulmarledge {
+
+namespace {
+
+/// Lines of this time are written together: a wake-up of the thread for each one would cost more than the writing.
+constexpr std::chrono::milliseconds kGatherTime{100};
+/// How long a full descriptor is waited for before the thread looks whether it should end.
+constexpr int kPollMs = 200;
+constexpr std::size_t kBatchBytes = 64 * 1024;
+
+} // namespace
+
+LineWriter::LineWriter(int fd, std::size_t maxLines)
+    : m_fd(fd)
+    , m_maxLines(maxLines)
+    , m_thread([this] { run(); })
+{
+}
+
+LineWriter::~LineWriter()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_one();
+    m_thread.join();
+}
+
+void LineWriter::add(std::string line)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_lines.size() >= m_maxLines) {
+        ++m_leftOut;
+        return;
+    }
+    m_lines.push_back(std::move(line));
+    if (m_lines.size() == 1) {
+        m_wake.notify_one();
+    }
+}
+
+std::uint64_t LineWriter::leftOut()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_leftOut;
+}
+
+void LineWriter::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_wake.wait(lock, [this] { return m_stopping || !m_lines.empty(); });
+        if (!m_stopping) {
+            m_wake.wait_for(lock, kGatherTime, [this] { return m_stopping; });
+        }
+        std::string batch;
+        if (m_leftOut > m_reported) {
+            batch = "event=log-lines-left-out count=" + std::to_string(m_leftOut - m_reported) + "\n";
+            m_reported = m_leftOut;
+        }
+        while (!m_lines.empty() && batch.size() < kBatchBytes) {
+            batch += m_lines.front();
+            m_lines.pop_front();
+        }
+        if (batch.empty() && m_stopping) {
+            return;
+        }
+        lock.unlock();
+        const bool written = write(batch);
+        lock.lock();
+        if (!written) {
+            return;
+        }
+    }
+}
+
+bool LineWriter::write(const std::string &text)
+{
+    std::size_t done = 0;
+    while (done < text.size()) {
+        // The descriptor may be shared with other processes, so it is not made non-blocking.
+        pollfd entry{m_fd, POLLOUT, 0};
+        if (::poll(&entry, 1, kPollMs) <= 0) {
+            const std::lock_guard lock(m_mutex);
+            if (m_stopping) {
+                return false;
+            }
+            continue;
+        }
+        const ssize_t sent = ::write(m_fd, text.data() + done, std::min<std::size_t>(text.size() - done, PIPE_BUF));
+        if (sent < 0 && errno != EINTR && errno != EAGAIN) {
+            return false;
+        }
+        done += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    }
+    return true;
+}
+
+} // namespace fulmarledge
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t kReasonCount = static_cast<std::size_t>(Reason::Count);
 constexpr std::size_t kVerdictCount = 4;
+constexpr std::size_t kKindCount = 4;
+constexpr std::array<const char *, 2> kLegNames{"attempt", "guard"};
 
 /// Bounds of histograms, in milliseconds. The 6 s bound on convergence is one of them.
 const prometheus::Histogram::BucketBoundaries kBucketsMs{1,   2,    5,    10,   20,   50,    100,  200,
@@ -40,6 +42,8 @@
     std::array<prometheus::Counter *, kReasonCount> refusals{};
     std::array<prometheus::Counter *, kReasonCount> retries{};
     std::array<prometheus::Counter *, kVerdictCount> verdicts{};
+    std::array<std::array<prometheus::Histogram *, kVerdictCount>, kKindCount> requestTimes{};
+    std::array<prometheus::Histogram *, kLegNames.size()> legTimes{};
 
     static std::string key(std::string_view name, std::string_view label)
     {
@@ -78,6 +82,27 @@
         m_shared->verdicts[static_cast<std::size_t>(verdict)]
             = &verdicts.Add({{"verdict", std::string(verdictName(verdict))}});
     }
+    auto &requestTimes = prometheus::BuildHistogram()
+                             .Name("fulmarledge_request_ms")
+                             .Help("Time from a request's arrival to its answer, by kind and verdict")
+                             .Labels(m_shared->common)
+                             .Register(*m_shared->registry);
+    for (std::size_t kind = 0; kind < kKindCount; ++kind) {
+        for (std::size_t verdict = 0; verdict < kVerdictCount; ++verdict) {
+            m_shared->requestTimes[kind][verdict]
+                = &requestTimes.Add({{"kind", std::string(kindName(static_cast<RequestKind>(kind)))},
+                                     {"verdict", std::string(verdictName(static_cast<Verdict>(verdict)))}},
+                                    kBucketsMs);
+        }
+    }
+    auto &legTimes = prometheus::BuildHistogram()
+                         .Name("fulmarledge_leg_ms")
+                         .Help("Time of one leg of a request")
+                         .Labels(m_shared->common)
+                         .Register(*m_shared->registry);
+    for (std::size_t i = 0; i < kLegNames.size(); ++i) {
+        m_shared->legTimes[i] = &legTimes.Add({{"leg", kLegNames[i]}}, kBucketsMs);
+    }
 }
 
 Metrics::~Metrics() = default;
@@ -122,6 +147,17 @@
     histogram->Observe(value);
 }
 
+void Metrics::observeRequest(RequestKind kind, Verdict verdict, TimeMs took)
+{
+    m_shared->requestTimes[static_cast<std::size_t>(kind)][static_cast<std::size_t>(verdict)]->Observe(
+        static_cast<double>(took));
+}
+
+void Metrics::observeLeg(RequestLeg leg, TimeMs took)
+{
+    m_shared->legTimes[static_cast<std::size_t>(leg)]->Observe(static_cast<double>(took));
+}
+
 void Metrics::countRefusal(Reason reason)
 {
     m_shared->refusals[static_cast<std::size_t>(reason)]->Increment();
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -4,11 +4,18 @@
 #include <memory>
 #include <string>
 
+#include "fulmarledge/manifest.h"
 #include "fulmarledge/ports.h"
 #include "fulmarledge/verdict.h"
 
 namespace fulmarledge {
 
+/// Part of a request's way.
+enum class RequestLeg : std::uint8_t {
+    Attempt, ///< at the entry node: from the dispatch of one attempt to its outcome
+    Guard, ///< beside the backend server: from the arrival over the hop to the answer
+};
+
 /// Metrics kept by prometheus-cpp. All functions are thread-safe.
 class Metrics : public MetricsSink
 {
@@ -27,6 +34,11 @@
     /// Counts a finished request by its verdict. Takes no lock.
     void countVerdict(Verdict verdict);
 
+    /// Counts the time from a request's arrival to its answer, by kind and verdict.
+    void observeRequest(RequestKind kind, Verdict verdict, TimeMs took);
+    /// Counts the time of one leg of a request. Takes no lock.
+    void observeLeg(RequestLeg leg, TimeMs took);
+
     /// Metrics in the Prometheus text format.
     std::string toText() const;
 
--- a/src/adapters/requestpath.cpp
+++ b/src/adapters/requestpath.cpp
@@ -70,25 +70,24 @@
 
 void RequestPath::Shared::onCall(HttpCall call)
 {
-    const std::shared_ptr<HttpResponder> responder = call.responder;
     const Reason reason = refusing.load(std::memory_order_acquire);
     if (reason != Reason::None) {
-        sendRefusal(state, *responder, kUnavailable, reason, "this node does not serve callers now");
+        sendRefusal(state, call, kUnavailable, reason, "this node does not serve callers now");
         return;
     }
     if (call.body.size() > state.settings.maxBodyBytes) {
-        sendRefusal(state, *responder, kTooLarge, Reason::BodyTooLarge,
+        sendRefusal(state, call, kTooLarge, Reason::BodyTooLarge,
                     "the body is larger than " + std::to_string(state.settings.maxBodyBytes) + " bytes");
         return;
     }
     LastReason error;
     std::optional<CallerFields> fields = state.settings.dialect->parseCaller(call, error);
     if (!fields) {
-        sendRefusal(state, *responder, kBadRequest, Reason::BadHeader, error.text());
+        sendRefusal(state, call, kBadRequest, Reason::BadHeader, error.text());
         return;
     }
     if (!reserve(call.body.size())) {
-        sendRefusal(state, *responder, kUnavailable, Reason::QueueFull, "too many requests in progress at this node");
+        sendRefusal(state, call, kUnavailable, Reason::QueueFull, "too many requests in progress at this node");
         return;
     }
     if (fields->requestId.empty()) {
--- a/src/adapters/viewholder_p.h
+++ b/src/adapters/viewholder_p.h
@@ -24,7 +24,7 @@
 public:
     ViewHolder(std::string host, std::string zone, std::shared_ptr<const SlotGauge> ownSlots,
                const BalancerConfig &balancer, const RetryConfig &retry,
-               std::shared_ptr<const RetryAllowance> allowance);
+               std::shared_ptr<const RetryAllowance> allowance = {});
     ~ViewHolder();
     ViewHolder(const ViewHolder &) = delete;
     ViewHolder &operator=(const ViewHolder &) = delete;
--- a/src/core/manifest.cpp
+++ b/src/core/manifest.cpp
@@ -363,6 +363,21 @@
 
 } // namespace
 
+std::string_view kindName(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::ByMethod:
+        return "by-method";
+    case RequestKind::Safe:
+        return "safe";
+    case RequestKind::Unsafe:
+        return "unsafe";
+    case RequestKind::Download:
+        return "download";
+    }
+    return "unknown";
+}
+
 std::optional<Manifest> Manifest::parse(std::string_view text, LastReason &error)
 {
     if (text.size() > FULMARLEDGE_CONFIG_MAX_MANIFEST_BYTES) {
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -465,8 +465,13 @@
     blockSignals();
     startLogging(settings.logLevel);
     try {
-        Node node(settings);
-        return node.run();
+        int result = 0;
+        {
+            Node node(settings);
+            result = node.run();
+        }
+        stopLogging();
+        return result;
     } catch (const std::exception &exception) {
         std::fprintf(stderr, "fulmarledge-node: %s\n", exception.what());
         return 1;
