--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -277,7 +277,7 @@
 
 std::string DataWorker::describe(const Work &work, TimeMs now) const
 {
-    return "at=entry request=" + work.request->fields.requestId + " route=" + work.routeKey
+    return "at=entry request=" + work.request->fields.requestId + " peer=" + work.request->call.peerIp + " route=" + work.routeKey
         + " kind=" + std::string(kindName(work.kind)) + " service=" + work.serviceName
         + " version=" + std::to_string(work.version) + " attempts=" + std::to_string(work.session->attempts())
         + " last_host=" + work.lastHost + " age_ms=" + std::to_string(now - work.request->received)
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <random>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
@@ -465,13 +466,12 @@
     blockSignals();
     startLogging(settings.logLevel);
     try {
-        int result = 0;
-        {
-            Node node(settings);
-            result = node.run();
-        }
+        Node node(settings);
+        const int result = node.run();
         stopLogging();
-        return result;
+        // Nothing of a node outlasts its process. Ending here spares callers the time in which the threads of the
+        // libraries wait for each other while the node serves nobody.
+        std::_Exit(result);
     } catch (const std::exception &exception) {
         std::fprintf(stderr, "fulmarledge-node: %s\n", exception.what());
         return 1;
