--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -3495,6 +3495,21 @@
   this->rank = val;
 __isset.rank = true;
 }
+
+void HopRequest::__set_kind(const int64_t val) {
+  this->kind = val;
+__isset.kind = true;
+}
+
+void HopRequest::__set_objectiveMs(const int32_t val) {
+  this->objectiveMs = val;
+__isset.objectiveMs = true;
+}
+
+void HopRequest::__set_objectiveLeftMs(const int32_t val) {
+  this->objectiveLeftMs = val;
+__isset.objectiveLeftMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const HopRequest& obj)
 {
   obj.printTo(out);
@@ -3647,6 +3662,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->objectiveMs);
+          this->__isset.objectiveMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->objectiveLeftMs);
+          this->__isset.objectiveLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3730,6 +3769,21 @@
     xfer += oprot->writeI32(this->rank);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.kind) {
+    xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->kind);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.objectiveMs) {
+    xfer += oprot->writeFieldBegin("objectiveMs", ::apache::thrift::protocol::T_I32, 16);
+    xfer += oprot->writeI32(this->objectiveMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.objectiveLeftMs) {
+    xfer += oprot->writeFieldBegin("objectiveLeftMs", ::apache::thrift::protocol::T_I32, 17);
+    xfer += oprot->writeI32(this->objectiveLeftMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3751,6 +3805,9 @@
   swap(a.version, b.version);
   swap(a.hostName, b.hostName);
   swap(a.rank, b.rank);
+  swap(a.kind, b.kind);
+  swap(a.objectiveMs, b.objectiveMs);
+  swap(a.objectiveLeftMs, b.objectiveLeftMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -3769,6 +3826,9 @@
   version = other138.version;
   hostName = other138.hostName;
   rank = other138.rank;
+  kind = other138.kind;
+  objectiveMs = other138.objectiveMs;
+  objectiveLeftMs = other138.objectiveLeftMs;
   __isset = other138.__isset;
 }
 HopRequest::HopRequest(HopRequest&& other139) noexcept {
@@ -3786,6 +3846,9 @@
   version = other139.version;
   hostName = std::move(other139.hostName);
   rank = other139.rank;
+  kind = other139.kind;
+  objectiveMs = other139.objectiveMs;
+  objectiveLeftMs = other139.objectiveLeftMs;
   __isset = other139.__isset;
 }
 HopRequest& HopRequest::operator=(const HopRequest& other140) {
@@ -3803,6 +3866,9 @@
   version = other140.version;
   hostName = other140.hostName;
   rank = other140.rank;
+  kind = other140.kind;
+  objectiveMs = other140.objectiveMs;
+  objectiveLeftMs = other140.objectiveLeftMs;
   __isset = other140.__isset;
   return *this;
 }
@@ -3821,6 +3887,9 @@
   version = other141.version;
   hostName = std::move(other141.hostName);
   rank = other141.rank;
+  kind = other141.kind;
+  objectiveMs = other141.objectiveMs;
+  objectiveLeftMs = other141.objectiveLeftMs;
   __isset = other141.__isset;
   return *this;
 }
@@ -3841,6 +3910,9 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "hostName="; (__isset.hostName ? (out << to_string(hostName)) : (out << "<null>"));
   out << ", " << "rank="; (__isset.rank ? (out << to_string(rank)) : (out << "<null>"));
+  out << ", " << "kind="; (__isset.kind ? (out << to_string(kind)) : (out << "<null>"));
+  out << ", " << "objectiveMs="; (__isset.objectiveMs ? (out << to_string(objectiveMs)) : (out << "<null>"));
+  out << ", " << "objectiveLeftMs="; (__isset.objectiveLeftMs ? (out << to_string(objectiveLeftMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -1363,7 +1363,7 @@
 std::ostream& operator<<(std::ostream& out, const HttpField& obj);
 
 typedef struct _HopRequest__isset {
-  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false), hostName(false), rank(false) {}
+  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false), hostName(false), rank(false), kind(false), objectiveMs(false), objectiveLeftMs(false) {}
   bool id :1;
   bool serviceName :1;
   bool method :1;
@@ -1378,6 +1378,9 @@
   bool version :1;
   bool hostName :1;
   bool rank :1;
+  bool kind :1;
+  bool objectiveMs :1;
+  bool objectiveLeftMs :1;
 } _HopRequest__isset;
 
 class HopRequest : public virtual ::apache::thrift::TBase {
@@ -1400,7 +1403,10 @@
                bulk(0),
                version(0),
                hostName(),
-               rank(0) {
+               rank(0),
+               kind(0),
+               objectiveMs(0),
+               objectiveLeftMs(0) {
   }
 
   virtual ~HopRequest() noexcept;
@@ -1418,6 +1424,9 @@
   int64_t version;
   std::string hostName;
   int32_t rank;
+  int64_t kind;
+  int32_t objectiveMs;
+  int32_t objectiveLeftMs;
 
   _HopRequest__isset __isset;
 
@@ -1449,6 +1458,12 @@
 
   void __set_rank(const int32_t val);
 
+  void __set_kind(const int64_t val);
+
+  void __set_objectiveMs(const int32_t val);
+
+  void __set_objectiveLeftMs(const int32_t val);
+
   bool operator == (const HopRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -1483,6 +1498,18 @@
       return false;
     else if (__isset.rank && !(rank == rhs.rank))
       return false;
+    if (__isset.kind != rhs.__isset.kind)
+      return false;
+    else if (__isset.kind && !(kind == rhs.kind))
+      return false;
+    if (__isset.objectiveMs != rhs.__isset.objectiveMs)
+      return false;
+    else if (__isset.objectiveMs && !(objectiveMs == rhs.objectiveMs))
+      return false;
+    if (__isset.objectiveLeftMs != rhs.__isset.objectiveLeftMs)
+      return false;
+    else if (__isset.objectiveLeftMs && !(objectiveLeftMs == rhs.objectiveLeftMs))
+      return false;
     return true;
   }
   bool operator != (const HopRequest &rhs) const {
--- a/include/fulmarledge/slotguard.h
+++ b/include/fulmarledge/slotguard.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fulmarledge/manifest.h"
+#include "fulmarledge/servicetimes.h"
 #include "fulmarledge/types.h"
 #include "fulmarledge/verdict.h"
 
@@ -29,6 +30,11 @@
 struct GuardConfig {
     std::uint32_t queuePerSlot = 2; ///< waiting requests per slot
     TimeMs bulkLimitMs = 1000; ///< how long bulk stays limited to half of the slots after interactive work waited
+    /// Requests per slot that may wait although they will miss their objective. They fill gaps; more of them would only
+    /// be refused later.
+    double latePerSlot = 0.5;
+    /// Part of the time to the deadline in which a request that misses its objective must be expected to finish.
+    double lateDeadlinePart = 0.8;
     double serviceTimeWeight = 0.1; ///< weight of a new sample in the mean service time
 };
 
@@ -38,6 +44,9 @@
     ServiceClass serviceClass = ServiceClass::Interactive;
     TimeMs deadline = 0;
     std::optional<std::uint32_t> rank = std::nullopt; ///< lower ranks go first; the rank of the class when not set
+    std::uint64_t kind = 0; ///< work of one kind takes similar time; 0: all work of the rank is of one kind
+    TimeMs objectiveMs = 0; ///< latency objective of the kind; 0 for none
+    TimeMs objective = 0; ///< when this request misses it, for a request that has one
 };
 
 /// Rank of a class's requests where the manifest gives none.
@@ -120,7 +129,7 @@
     /// Mean service time in ms, 0 before the first sample.
     double serviceTimeMs(ServiceClass serviceClass) const
     {
-        return m_serviceMs[indexOf(rankOf(serviceClass))];
+        return m_serviceTimes.mean(rankOf(serviceClass));
     }
     /// For the balancer. Lives longer than the guard if needed.
     std::shared_ptr<const SlotGauge> gauge() const
@@ -136,6 +145,9 @@
         TimeMs started = 0;
         ServiceClass serviceClass = ServiceClass::Interactive;
         std::uint32_t rank = 0;
+        std::uint64_t kind = 0;
+        TimeMs objectiveMs = 0;
+        TimeMs objective = 0;
         GuardState state = GuardState::Wait;
         Reason refusal = Reason::None; ///< for entries that `next` still has to report as refused
     };
@@ -148,20 +160,25 @@
     std::size_t callerIndex(std::uint64_t hash);
     std::uint32_t workOf(std::uint64_t hash) const;
     void remove(Entry &entry);
-    bool goesBefore(const Entry &a, const Entry &b) const;
+    bool goesBefore(const Entry &a, const Entry &b, TimeMs now) const;
     static std::uint32_t effectiveRank(const GuardRequest &request)
     {
         return request.rank.value_or(rankOf(request.serviceClass));
     }
-    static std::size_t indexOf(std::uint32_t rank)
+    Entry entryOf(const GuardRequest &request) const;
+    bool isLate(const Entry &entry, TimeMs now) const;
+    bool makeRoom(const Entry &entry, std::uint64_t callerHash, TimeMs now);
+    bool mayStart(ServiceClass serviceClass, TimeMs now) const;
+    bool canMeet(const Entry &entry, double waitMs, TimeMs now) const;
+    bool isWorthWaiting(const Entry &entry, double waitMs, TimeMs now) const;
+    double serviceMs(const Entry &entry) const
     {
-        return rank < kRanks ? rank : kRanks - 1;
+        return m_serviceTimes.mean(entry.kind);
     }
-    bool makeRoom(const GuardRequest &request, std::uint64_t callerHash);
-    bool mayStart(ServiceClass serviceClass, TimeMs now) const;
-    bool canMeet(std::uint32_t rank, TimeMs deadline, double waitMs, TimeMs now) const;
-    double expectedWaitMs(std::uint32_t rank) const;
-    Reason check(const GuardRequest &request, TimeMs now) const;
+    double runningMeanMs() const;
+    double expectedWaitMs(const Entry &entry, TimeMs now) const;
+    TimeMs backlogMs() const;
+    Reason check(const GuardRequest &request, const Entry &entry, TimeMs now) const;
     Entry *bestWaiting(TimeMs now);
     Entry *mustRefuse(TimeMs now);
     void start(Entry &entry, TimeMs now);
@@ -179,8 +196,7 @@
     bool m_draining = false;
     TimeMs m_bulkLimitedUntil = 0;
     std::uint64_t m_lastId = 0;
-    static constexpr std::size_t kRanks = 8; ///< ranks with a mean service time of their own; the last one has the rest
-    std::array<double, kRanks> m_serviceMs{}; ///< by rank
+    ServiceTimes m_serviceTimes; ///< by kind of work, or by rank without one
     std::vector<Entry> m_entries; ///< at most slots + queue
     std::vector<Caller> m_callers; ///< callers with work in the guard, places reused: no more than entries at once
     std::shared_ptr<SlotGauge> m_gauge;
--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <unistd.h>
 #include <utility>
+#include <xxhash.h>
 
 #include "dataworker_p.h"
 
@@ -13,6 +14,8 @@
 constexpr int kFirstServerError = 500;
 /// Told to callers that a node cannot serve yet.
 constexpr TimeMs kNotServableRetryMs = 1000;
+/// Shortest time told to a caller, about the service time of one request: a free slot does not last.
+constexpr TimeMs kMinRetryMs = 50;
 
 wire::HopResponse toResponse(HopOutcome &&outcome)
 {
@@ -143,6 +146,7 @@
     if (route.spec.kind != RequestKind::ByMethod) {
         work.rank = route.spec.priority;
         work.bulk = route.spec.kind == RequestKind::Download;
+        work.objectiveMs = route.spec.targetLatencyMs;
     }
     const std::int64_t timeout = route.spec.timeoutMs > 0 ? route.spec.timeoutMs : spec.timeoutMs;
     const std::int64_t limit = fields.deadlineMs > 0 ? std::min(fields.deadlineMs, timeout) : timeout;
@@ -226,6 +230,12 @@
     }
     if (work.rank) {
         request.__set_rank(static_cast<std::int32_t>(*work.rank));
+        request.__set_kind(static_cast<std::int64_t>(XXH3_64bits(work.routeKey.data(), work.routeKey.size())));
+    }
+    if (work.objectiveMs > 0) {
+        const TimeMs left = work.request->received + work.objectiveMs - monotonicMs();
+        request.__set_objectiveMs(static_cast<std::int32_t>(work.objectiveMs));
+        request.__set_objectiveLeftMs(static_cast<std::int32_t>(left));
     }
     return request;
 }
@@ -275,6 +285,17 @@
     act(id, work.session->attemptFinished(attempt, result, monotonicMs()));
 }
 
+TimeMs DataWorker::spreadRetry(const Work &work, TimeMs retryAfterMs)
+{
+    if (work.objectiveMs == 0 || retryAfterMs <= 0) {
+        return retryAfterMs;
+    }
+    // Callers that were refused together would come back together (thundering herd), so they are told times that are
+    // spread evenly around the one at which room is expected.
+    const TimeMs mean = std::max(retryAfterMs, kMinRetryMs);
+    return mean / 2 + static_cast<TimeMs>(m_random.below(static_cast<std::uint64_t>(mean) + 1));
+}
+
 std::string DataWorker::describe(const Work &work, TimeMs now) const
 {
     return "at=entry request=" + work.request->fields.requestId + " peer=" + work.request->call.peerIp + " route=" + work.routeKey
@@ -353,7 +374,7 @@
         m_state.metrics.countRefusal(action.reason);
         m_state.refused.fetch_add(action.verdict == Verdict::NotRun ? 1 : 0, std::memory_order_relaxed);
     }
-    AnswerNotes notes{action.verdict,       action.reason, action.status, action.retryAfterMs,
+    AnswerNotes notes{action.verdict,       action.reason, action.status, spreadRetry(work, action.retryAfterMs),
                       work.request->fields.requestId, work.version};
     m_state.settings.dialect->addAnswerFields(notes, fields);
     if (action.reason != Reason::CallerGone) {
--- a/src/adapters/dataworker_p.h
+++ b/src/adapters/dataworker_p.h
@@ -93,6 +93,7 @@
         Version version = 0;
         bool bulk = false;
         std::optional<std::uint32_t> rank; ///< of the route, when the manifest gives one
+        TimeMs objectiveMs = 0; ///< latency objective of the route, 0 for none
         TimeMs deadline = 0;
         TimeMs dispatched = 0; ///< start of the last attempt
         TimerId timer; ///< deadline
@@ -112,6 +113,7 @@
     void attemptFinished(std::uint64_t id, AttemptId attempt, wire::HopResponse &&response, bool reported);
     void logRetry(const Work &work, TimeMs delayMs);
     void logAnswer(const Work &work, const SessionAction &action, TimeMs now);
+    TimeMs spreadRetry(const Work &work, TimeMs retryAfterMs);
     std::string describe(const Work &work, TimeMs now) const;
     void backoff(std::uint64_t id, Work &work, TimeMs until);
     void cancelAttempt(Work &work);
--- a/src/adapters/localbackend.cpp
+++ b/src/adapters/localbackend.cpp
@@ -137,6 +137,13 @@
     if (request.__isset.rank) {
         guarded.rank = static_cast<std::uint32_t>(std::max(request.rank, 0));
     }
+    if (request.__isset.kind) {
+        guarded.kind = static_cast<std::uint64_t>(request.kind);
+    }
+    if (request.__isset.objectiveMs && request.objectiveMs > 0) {
+        guarded.objectiveMs = request.objectiveMs;
+        guarded.objective = now + request.objectiveLeftMs;
+    }
     const GuardDecision decision = m_guard.submit(guarded, now);
     admission.entry = decision.id;
     if (decision.state == GuardState::Run) {
--- a/src/core/slotguard.cpp
+++ b/src/core/slotguard.cpp
@@ -26,7 +26,7 @@
     const std::uint64_t hash = hashOf(service);
     if (hash != m_service) {
         refuseWaiting(Reason::WrongHost);
-        m_serviceMs = {};
+        m_serviceTimes.clear();
         m_bulkLimitedUntil = now;
     }
     m_service = hash;
@@ -38,24 +38,34 @@
     publish();
 }
 
+SlotGuard::Entry SlotGuard::entryOf(const GuardRequest &request) const
+{
+    Entry entry;
+    entry.deadline = request.deadline;
+    entry.serviceClass = request.serviceClass;
+    entry.rank = effectiveRank(request);
+    entry.kind = request.kind != 0 ? request.kind : entry.rank;
+    entry.objectiveMs = request.objectiveMs;
+    entry.objective = request.objective;
+    return entry;
+}
+
 GuardDecision SlotGuard::submit(const GuardRequest &request, TimeMs now)
 {
     const std::uint64_t hash = hashOf(request.caller);
-    Reason reason = check(request, now);
+    const Entry candidate = entryOf(request);
+    Reason reason = check(request, candidate, now);
     const bool full = m_waiting >= m_slots * m_config.queuePerSlot;
     const bool runs = m_waiting == 0 && mayStart(request.serviceClass, now);
-    if (reason == Reason::None && !runs && full && !makeRoom(request, hash)) {
+    if (reason == Reason::None && !runs && full && !makeRoom(candidate, hash, now)) {
         reason = Reason::QueueFull;
     }
     if (reason != Reason::None) {
-        return {GuardState::Refuse, {}, reason, static_cast<TimeMs>(std::ceil(expectedWaitMs(effectiveRank(request))))};
+        return {GuardState::Refuse, {}, reason, backlogMs()};
     }
-    Entry &entry = m_entries.emplace_back();
+    Entry &entry = m_entries.emplace_back(candidate);
     entry.id = {++m_lastId};
     entry.caller = callerIndex(hash);
-    entry.deadline = request.deadline;
-    entry.serviceClass = request.serviceClass;
-    entry.rank = effectiveRank(request);
     ++m_callers[entry.caller].work;
     ++m_waiting;
     if (runs) {
@@ -73,14 +83,7 @@
     if (entry == nullptr || entry->state != GuardState::Run) {
         return false;
     }
-    const auto elapsed = static_cast<double>(now - entry->started);
-    double &mean = m_serviceMs[indexOf(entry->rank)];
-    if (mean == 0) {
-        mean = elapsed;
-    } else if (answered || elapsed > mean) {
-        // The time of a request that was cut only says that the service takes at least as long.
-        mean += (elapsed - mean) * m_config.serviceTimeWeight;
-    }
+    m_serviceTimes.add(entry->kind, static_cast<double>(now - entry->started), answered, m_config.serviceTimeWeight);
     --m_running;
     m_runningBulk -= entry->serviceClass == ServiceClass::Bulk ? 1 : 0;
     remove(*entry);
@@ -112,7 +115,7 @@
     if (entry == nullptr) {
         return std::nullopt;
     }
-    if (!canMeet(entry->rank, entry->deadline, 0, now)) {
+    if (!canMeet(*entry, 0, now)) {
         entry->refusal = Reason::DeadlineUnreachable;
         return refuse(*entry);
     }
@@ -128,8 +131,12 @@
 {
     std::optional<TimeMs> earliest;
     for (const Entry &entry : m_entries) {
-        if (entry.state == GuardState::Wait && (!earliest || entry.deadline < *earliest)) {
-            earliest = entry.deadline;
+        if (entry.state != GuardState::Wait) {
+            continue;
+        }
+        const TimeMs needed = entry.objectiveMs > 0 ? static_cast<TimeMs>(serviceMs(entry)) : 0;
+        if (!earliest || entry.deadline - needed < *earliest) {
+            earliest = entry.deadline - needed;
         }
     }
     // Bulk work that waits only for the end of its limit has no other event that starts it.
@@ -148,7 +155,7 @@
     publish();
 }
 
-Reason SlotGuard::check(const GuardRequest &request, TimeMs now) const
+Reason SlotGuard::check(const GuardRequest &request, const Entry &entry, TimeMs now) const
 {
     if (hashOf(request.service) != m_service || m_slots == 0) {
         return Reason::WrongHost;
@@ -159,35 +166,81 @@
     if (request.deadline <= now) {
         return Reason::DeadlineExceeded;
     }
-    const double waitMs = mayStart(request.serviceClass, now) ? 0 : expectedWaitMs(effectiveRank(request));
-    return canMeet(effectiveRank(request), request.deadline, waitMs, now) ? Reason::None : Reason::DeadlineUnreachable;
+    const double waitMs = mayStart(request.serviceClass, now) ? 0 : expectedWaitMs(entry, now);
+    const bool admitted = canMeet(entry, waitMs, now) && isWorthWaiting(entry, waitMs, now);
+    return admitted ? Reason::None : Reason::DeadlineUnreachable;
 }
 
-bool SlotGuard::canMeet(std::uint32_t rank, TimeMs deadline, double waitMs, TimeMs now) const
+bool SlotGuard::canMeet(const Entry &entry, double waitMs, TimeMs now) const
 {
     // With nothing running the request is admitted whatever the mean says: otherwise a mean that was measured during
     // a slow spell would refuse all work and never be measured again.
     if (m_running == 0) {
         return true;
     }
-    return static_cast<double>(deadline - now) >= waitMs + m_serviceMs[indexOf(rank)];
+    return static_cast<double>(entry.deadline - now) >= waitMs + serviceMs(entry);
+}
+
+bool SlotGuard::isLate(const Entry &entry, TimeMs now) const
+{
+    return entry.objectiveMs > 0 && static_cast<double>(entry.objective - now) < serviceMs(entry);
+}
+
+// Under sustained overload a long queue makes every answer late. Requests that will miss their objective wait only in
+// small numbers, to fill gaps; the others are sent away at once and come back when there is room.
+bool SlotGuard::isWorthWaiting(const Entry &entry, double waitMs, TimeMs now) const
+{
+    const double finishMs = waitMs + serviceMs(entry);
+    if (entry.objectiveMs == 0 || waitMs == 0 || static_cast<double>(entry.objective - now) >= finishMs) {
+        return true;
+    }
+    if (static_cast<double>(entry.deadline - now) * m_config.lateDeadlinePart < finishMs) {
+        return false;
+    }
+    const auto late = std::count_if(m_entries.begin(), m_entries.end(), [&](const Entry &other) {
+        return other.state == GuardState::Wait && isLate(other, now);
+    });
+    return static_cast<double>(late) < m_config.latePerSlot * m_slots;
+}
+
+double SlotGuard::runningMeanMs() const
+{
+    double sum = 0;
+    for (const Entry &entry : m_entries) {
+        sum += entry.state == GuardState::Run ? serviceMs(entry) : 0;
+    }
+    return m_running > 0 ? sum / m_running : 0;
 }
 
-double SlotGuard::expectedWaitMs(std::uint32_t rank) const
+double SlotGuard::expectedWaitMs(const Entry &entry, TimeMs now) const
 {
     if (m_slots == 0) {
         return 0;
     }
     // One slot has to become free, and the work that goes first has to pass through the slots.
-    double work = *std::max_element(m_serviceMs.begin(), m_serviceMs.end());
-    for (const Entry &entry : m_entries) {
-        if (entry.state == GuardState::Wait && entry.rank <= rank) {
-            work += m_serviceMs[indexOf(entry.rank)];
+    double work = runningMeanMs();
+    for (const Entry &other : m_entries) {
+        // A request without an objective is ordered by its deadline, which says little about what comes meanwhile.
+        const bool first = entry.objectiveMs > 0 ? goesBefore(other, entry, now) : other.rank <= entry.rank;
+        if (other.state == GuardState::Wait && first) {
+            work += serviceMs(other);
         }
     }
     return work / m_slots;
 }
 
+TimeMs SlotGuard::backlogMs() const
+{
+    if (m_slots == 0) {
+        return 0;
+    }
+    double work = runningMeanMs();
+    for (const Entry &entry : m_entries) {
+        work += entry.state == GuardState::Wait ? serviceMs(entry) : 0;
+    }
+    return static_cast<TimeMs>(std::ceil(work / m_slots));
+}
+
 bool SlotGuard::mayStart(ServiceClass serviceClass, TimeMs now) const
 {
     if (m_draining || m_running >= m_slots) {
@@ -203,11 +256,24 @@
     m_bulkLimitedUntil = now + m_config.bulkLimitMs;
 }
 
-bool SlotGuard::goesBefore(const Entry &a, const Entry &b) const
+bool SlotGuard::goesBefore(const Entry &a, const Entry &b, TimeMs now) const
 {
     if (a.rank != b.rank) {
         return a.rank < b.rank;
     }
+    if (a.objectiveMs != b.objectiveMs) {
+        // Nested calls have the shorter objectives, and the request that waits for one holds a slot elsewhere
+        // (priority inversion), so they go before new requests of their rank, also when they are late.
+        return a.objectiveMs < b.objectiveMs;
+    }
+    if (a.objectiveMs > 0) {
+        const bool lateA = isLate(a, now);
+        const bool lateB = isLate(b, now);
+        if (lateA != lateB) {
+            return lateB;
+        }
+        return a.objective != b.objective ? a.objective < b.objective : a.id.value < b.id.value;
+    }
     const std::uint32_t workA = m_callers[a.caller].work;
     const std::uint32_t workB = m_callers[b.caller].work;
     if (workA != workB) {
@@ -216,20 +282,22 @@
     return a.deadline != b.deadline ? a.deadline < b.deadline : a.id.value < b.id.value;
 }
 
-bool SlotGuard::makeRoom(const GuardRequest &request, std::uint64_t callerHash)
+bool SlotGuard::makeRoom(const Entry &candidate, std::uint64_t callerHash, TimeMs now)
 {
     Entry *last = nullptr;
     for (Entry &entry : m_entries) {
-        if (entry.state == GuardState::Wait && (last == nullptr || goesBefore(*last, entry))) {
+        if (entry.state == GuardState::Wait && (last == nullptr || goesBefore(*last, entry, now))) {
             last = &entry;
         }
     }
     if (last == nullptr) {
         return false;
     }
-    const bool lowerRank = effectiveRank(request) < last->rank;
-    const bool lessWork = effectiveRank(request) == last->rank && workOf(callerHash) + 1 < m_callers[last->caller].work;
-    if (!lowerRank && !lessWork) {
+    const bool lowerRank = candidate.rank < last->rank;
+    const bool sameRank = candidate.rank == last->rank;
+    const bool lessWork = sameRank && candidate.objectiveMs == 0 && workOf(callerHash) + 1 < m_callers[last->caller].work;
+    const bool shorter = sameRank && candidate.objectiveMs > 0 && candidate.objectiveMs < last->objectiveMs;
+    if (!lowerRank && !lessWork && !shorter) {
         return false;
     }
     last->refusal = Reason::QueueFull;
@@ -243,7 +311,7 @@
     Entry *best = nullptr;
     for (Entry &entry : m_entries) {
         if (entry.state == GuardState::Wait && mayStart(entry.serviceClass, now)
-            && (best == nullptr || goesBefore(entry, *best))) {
+            && (best == nullptr || goesBefore(entry, *best, now))) {
             best = &entry;
         }
     }
@@ -260,14 +328,17 @@
             entry.refusal = Reason::DeadlineExceeded;
             return &entry;
         }
+        if (entry.state == GuardState::Wait && entry.objectiveMs > 0 && !canMeet(entry, 0, now)) {
+            entry.refusal = Reason::DeadlineUnreachable;
+            return &entry;
+        }
     }
     return nullptr;
 }
 
 GuardDecision SlotGuard::refuse(Entry &entry)
 {
-    const GuardDecision decision{GuardState::Refuse, entry.id, entry.refusal,
-                                 static_cast<TimeMs>(std::ceil(expectedWaitMs(entry.rank)))};
+    const GuardDecision decision{GuardState::Refuse, entry.id, entry.refusal, backlogMs()};
     m_waiting -= entry.state == GuardState::Wait ? 1 : 0;
     remove(entry);
     publish();
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -113,6 +113,11 @@
   13: optional string hostName
   // Rank of the route, 0 first. Not set: the rank follows from `bulk`.
   14: optional i32 rank
+  // Hash of the route: requests of one route take similar time.
+  15: optional i64 kind
+  // Latency objective of the route and what is left of it, which may be negative, in ms.
+  16: optional i32 objectiveMs
+  17: optional i32 objectiveLeftMs
 }
 
 struct HopResponse {
