--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -3510,6 +3510,11 @@
   this->objectiveLeftMs = val;
 __isset.objectiveLeftMs = true;
 }
+
+void HopRequest::__set_spillLeftMs(const int32_t val) {
+  this->spillLeftMs = val;
+__isset.spillLeftMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const HopRequest& obj)
 {
   obj.printTo(out);
@@ -3686,6 +3691,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->spillLeftMs);
+          this->__isset.spillLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3784,6 +3797,11 @@
     xfer += oprot->writeI32(this->objectiveLeftMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.spillLeftMs) {
+    xfer += oprot->writeFieldBegin("spillLeftMs", ::apache::thrift::protocol::T_I32, 18);
+    xfer += oprot->writeI32(this->spillLeftMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3808,6 +3826,7 @@
   swap(a.kind, b.kind);
   swap(a.objectiveMs, b.objectiveMs);
   swap(a.objectiveLeftMs, b.objectiveLeftMs);
+  swap(a.spillLeftMs, b.spillLeftMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -3829,6 +3848,7 @@
   kind = other138.kind;
   objectiveMs = other138.objectiveMs;
   objectiveLeftMs = other138.objectiveLeftMs;
+  spillLeftMs = other138.spillLeftMs;
   __isset = other138.__isset;
 }
 HopRequest::HopRequest(HopRequest&& other139) noexcept {
@@ -3849,6 +3869,7 @@
   kind = other139.kind;
   objectiveMs = other139.objectiveMs;
   objectiveLeftMs = other139.objectiveLeftMs;
+  spillLeftMs = other139.spillLeftMs;
   __isset = other139.__isset;
 }
 HopRequest& HopRequest::operator=(const HopRequest& other140) {
@@ -3869,6 +3890,7 @@
   kind = other140.kind;
   objectiveMs = other140.objectiveMs;
   objectiveLeftMs = other140.objectiveLeftMs;
+  spillLeftMs = other140.spillLeftMs;
   __isset = other140.__isset;
   return *this;
 }
@@ -3890,6 +3912,7 @@
   kind = other141.kind;
   objectiveMs = other141.objectiveMs;
   objectiveLeftMs = other141.objectiveLeftMs;
+  spillLeftMs = other141.spillLeftMs;
   __isset = other141.__isset;
   return *this;
 }
@@ -3913,6 +3936,7 @@
   out << ", " << "kind="; (__isset.kind ? (out << to_string(kind)) : (out << "<null>"));
   out << ", " << "objectiveMs="; (__isset.objectiveMs ? (out << to_string(objectiveMs)) : (out << "<null>"));
   out << ", " << "objectiveLeftMs="; (__isset.objectiveLeftMs ? (out << to_string(objectiveLeftMs)) : (out << "<null>"));
+  out << ", " << "spillLeftMs="; (__isset.spillLeftMs ? (out << to_string(spillLeftMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -1363,7 +1363,7 @@
 std::ostream& operator<<(std::ostream& out, const HttpField& obj);
 
 typedef struct _HopRequest__isset {
-  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false), hostName(false), rank(false), kind(false), objectiveMs(false), objectiveLeftMs(false) {}
+  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false), hostName(false), rank(false), kind(false), objectiveMs(false), objectiveLeftMs(false), spillLeftMs(false) {}
   bool id :1;
   bool serviceName :1;
   bool method :1;
@@ -1381,6 +1381,7 @@
   bool kind :1;
   bool objectiveMs :1;
   bool objectiveLeftMs :1;
+  bool spillLeftMs :1;
 } _HopRequest__isset;
 
 class HopRequest : public virtual ::apache::thrift::TBase {
@@ -1406,7 +1407,8 @@
                rank(0),
                kind(0),
                objectiveMs(0),
-               objectiveLeftMs(0) {
+               objectiveLeftMs(0),
+               spillLeftMs(0) {
   }
 
   virtual ~HopRequest() noexcept;
@@ -1427,6 +1429,7 @@
   int64_t kind;
   int32_t objectiveMs;
   int32_t objectiveLeftMs;
+  int32_t spillLeftMs;
 
   _HopRequest__isset __isset;
 
@@ -1464,6 +1467,8 @@
 
   void __set_objectiveLeftMs(const int32_t val);
 
+  void __set_spillLeftMs(const int32_t val);
+
   bool operator == (const HopRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -1510,6 +1515,10 @@
       return false;
     else if (__isset.objectiveLeftMs && !(objectiveLeftMs == rhs.objectiveLeftMs))
       return false;
+    if (__isset.spillLeftMs != rhs.__isset.spillLeftMs)
+      return false;
+    else if (__isset.spillLeftMs && !(spillLeftMs == rhs.spillLeftMs))
+      return false;
     return true;
   }
   bool operator != (const HopRequest &rhs) const {
--- a/include/fulmarledge/balancer.h
+++ b/include/fulmarledge/balancer.h
@@ -23,6 +23,10 @@
 struct BalancerConfig {
     TimeMs slowStartMs = 10000;
     TimeMs loadHalfLifeMs = 1000; ///< a reported load counts half after this time
+    /// Tries the own data centre first and leaves it to the slot guards there to send a request on, instead of judging
+    /// the data centre's load from reports.
+    bool zoneFirst = false;
+    TimeMs zoneRefusalHoldMs = 50; ///< how long a refusal keeps requests from trying a host of the own zone first
     TimeMs refusalHoldMs = 1000; ///< how long a refusal of the host outweighs the load that it reports
     std::uint32_t consecutiveFailures = 5;
     double latencyFactor = 3.0; ///< ejected above this multiple of the service's median
@@ -47,6 +51,7 @@
     /// Time of the report in ms (upper 48 bits) and load (lower 16 bits), renewed in one step.
     std::atomic<std::uint64_t> report{0};
     std::atomic<TimeMs> refusedUntil{0};
+    std::atomic<TimeMs> refusedAt{0}; ///< time of the last refusal
     std::atomic<TimeMs> ejectedUntil{0};
     std::atomic<std::uint32_t> ejections{0}; ///< ejections in a row, for the time that doubles
     std::atomic<std::uint32_t> failures{0}; ///< failures in a row
@@ -93,6 +98,9 @@
     /// Backend server for the next attempt, or an invalid handle when none is usable.
     BackendHandle choose(ServiceHandle service, const TriedHosts &tried, RandomSource &random, TimeMs now) const;
 
+    /// `handle` is in the own zone, and a usable backend server of another one was not tried.
+    bool canSpill(BackendHandle handle, const TriedHosts &tried) const;
+
     /// A usable backend server is left that was not tried.
     bool hasUntried(ServiceHandle service, const TriedHosts &tried) const;
 
--- a/include/fulmarledge/membership.h
+++ b/include/fulmarledge/membership.h
@@ -27,6 +27,9 @@
     int maxLocalHealth = 4; ///< suspicion times grow up to 1 + this factor
     TimeMs tombstoneMs = 600000; ///< how long dead and left records are kept
     TimeMs tombstoneProbeMs = 2000; ///< period of probes to a dead member
+    /// How long a host that left is probed like a dead one. A host that starts again while the platform is away knows
+    /// nobody, so the others have to find it.
+    TimeMs probeLeftMs = 0;
     int gossipFanout = 4; ///< members told at once of a new record
     int ownFanout = 8; ///< members told at once of a change of the own record
     int gossipBurstsPerSecond = 2; ///< bursts for records that are neither draining nor left
--- a/include/fulmarledge/requestsession.h
+++ b/include/fulmarledge/requestsession.h
@@ -67,6 +67,7 @@
     ActionKind kind = ActionKind::None;
     AttemptId attempt; ///< Dispatch, Cancel
     BackendHandle backend; ///< Dispatch, in the snapshot of `view()`
+    bool maySpill = false; ///< Dispatch: a busy host may send it on to another data centre
     bool ownHost = false; ///< Dispatch: to the slot guard of this process, without a hop
     TimeMs until = 0; ///< Dispatch: deadline; Wait: end
     Verdict verdict = Verdict::NotRun; ///< Answer
--- a/include/fulmarledge/slotguard.h
+++ b/include/fulmarledge/slotguard.h
@@ -30,11 +30,9 @@
 struct GuardConfig {
     std::uint32_t queuePerSlot = 2; ///< waiting requests per slot
     TimeMs bulkLimitMs = 1000; ///< how long bulk stays limited to half of the slots after interactive work waited
-    /// Requests per slot that may wait although they will miss their objective. They fill gaps; more of them would only
-    /// be refused later.
-    double latePerSlot = 0.5;
-    /// Part of the time to the deadline in which a request that misses its objective must be expected to finish.
-    double lateDeadlinePart = 0.8;
+    /// Multiple of the mean service time that must fit into the objective after the wait. Service times scatter, and
+    /// without a margin half of the requests at the bound would be late.
+    double serviceMargin = 1.5;
     double serviceTimeWeight = 0.1; ///< weight of a new sample in the mean service time
 };
 
@@ -47,6 +45,7 @@
     std::uint64_t kind = 0; ///< work of one kind takes similar time; 0: all work of the rank is of one kind
     TimeMs objectiveMs = 0; ///< latency objective of the kind; 0 for none
     TimeMs objective = 0; ///< when this request misses it, for a request that has one
+    TimeMs spillBy = 0; ///< refused if it has to wait and cannot be expected to finish by this time; 0 for none
 };
 
 /// Rank of a class's requests where the manifest gives none.
--- a/include/fulmarledge/verdict.h
+++ b/include/fulmarledge/verdict.h
@@ -41,6 +41,7 @@
     AnswerNotKept, ///< the keyed request ran, and its answer was too large to keep
     ForeignAnswer, ///< the bytes received are not the backend server's answer to this request
     WrongInstance, ///< another backend server has the address
+    ZoneBusy, ///< would wait beside the caller while other data centres may have room
     Count
 };
 
--- a/src/adapters/backendcalls.cpp
+++ b/src/adapters/backendcalls.cpp
@@ -51,8 +51,8 @@
 
 } // namespace
 
-BackendCalls::BackendCalls(IoLoop &loop, LocalBackend &backend, const RequestDialect &dialect,
-                           DecisionLog &decisions, std::size_t maxAnswerBytes)
+BackendCalls::BackendCalls(IoLoop &loop, LocalBackend &backend, const RequestDialect &dialect, DecisionLog &decisions,
+                           std::size_t maxAnswerBytes)
     : m_loop(loop)
     , m_backend(backend)
     , m_dialect(dialect)
@@ -185,13 +185,12 @@
     }
     m_decisions.write(
         "at=guard request=" + job.request.requestId + " service=" + job.request.serviceName
-        + " outcome=" + std::string(verdictName(static_cast<Verdict>(response.verdict)))
-        + " reason=" + std::string(reasonName(static_cast<Reason>(response.reason)))
-        + " sent=" + (job.running ? "yes" : "no") + " instance=" + job.instance + " rank=" + std::to_string(job.request.rank)
+        + " outcome=" + std::string(verdictName(static_cast<Verdict>(response.verdict))) + " reason="
+        + std::string(reasonName(static_cast<Reason>(response.reason))) + " sent=" + (job.running ? "yes" : "no")
+        + " instance=" + job.instance + " rank=" + std::to_string(job.request.rank)
         + " load=" + std::to_string(m_backend.gauge()->outstanding.load(std::memory_order_relaxed))
-        + " slots=" + std::to_string(m_backend.slots()) + " age_ms=" + std::to_string(now - job.received)
-        + " left_ms=" + std::to_string(job.deadline - now)
-        + " retry_after_ms=" + std::to_string(response.retryAfterMs));
+        + " slots=" + std::to_string(m_backend.slots()) + " age_ms=" + std::to_string(now - job.received) + " left_ms="
+        + std::to_string(job.deadline - now) + " retry_after_ms=" + std::to_string(response.retryAfterMs));
 }
 
 void BackendCalls::cancel(std::uint64_t id)
--- a/src/adapters/backendcalls_p.h
+++ b/src/adapters/backendcalls_p.h
@@ -19,8 +19,8 @@
 public:
     using Done = std::function<void(wire::HopResponse &&)>;
 
-    BackendCalls(IoLoop &loop, LocalBackend &backend, const RequestDialect &dialect,
-                 DecisionLog &decisions, std::size_t maxAnswerBytes);
+    BackendCalls(IoLoop &loop, LocalBackend &backend, const RequestDialect &dialect, DecisionLog &decisions,
+                 std::size_t maxAnswerBytes);
     ~BackendCalls();
     BackendCalls(const BackendCalls &) = delete;
     BackendCalls &operator=(const BackendCalls &) = delete;
--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -16,6 +16,10 @@
 constexpr TimeMs kNotServableRetryMs = 1000;
 /// Shortest time told to a caller, about the service time of one request: a free slot does not last.
 constexpr TimeMs kMinRetryMs = 50;
+/// Part of the latency objective within which a request that has to wait must finish to stay in its data centre. Half
+/// leaves the other half for another data centre. Large answers cost the links between data centres most.
+constexpr TimeMs kZonePercent = 50;
+constexpr TimeMs kLargeZonePercent = 90;
 
 wire::HopResponse toResponse(HopOutcome &&outcome)
 {
@@ -236,6 +240,11 @@
         const TimeMs left = work.request->received + work.objectiveMs - monotonicMs();
         request.__set_objectiveMs(static_cast<std::int32_t>(work.objectiveMs));
         request.__set_objectiveLeftMs(static_cast<std::int32_t>(left));
+        if (action.maySpill && m_state.settings.balancer.zoneFirst) {
+            const bool large = work.kind == RequestKind::Download;
+            const TimeMs mayTake = work.objectiveMs * (large ? kLargeZonePercent : kZonePercent) / 100;
+            request.__set_spillLeftMs(static_cast<std::int32_t>(mayTake - (work.objectiveMs - left)));
+        }
     }
     return request;
 }
@@ -298,8 +307,8 @@
 
 std::string DataWorker::describe(const Work &work, TimeMs now) const
 {
-    return "at=entry request=" + work.request->fields.requestId + " peer=" + work.request->call.peerIp + " route=" + work.routeKey
-        + " kind=" + std::string(kindName(work.kind)) + " service=" + work.serviceName
+    return "at=entry request=" + work.request->fields.requestId + " peer=" + work.request->call.peerIp
+        + " route=" + work.routeKey + " kind=" + std::string(kindName(work.kind)) + " service=" + work.serviceName
         + " version=" + std::to_string(work.version) + " attempts=" + std::to_string(work.session->attempts())
         + " last_host=" + work.lastHost + " age_ms=" + std::to_string(now - work.request->received)
         + " left_ms=" + std::to_string(work.deadline - now);
@@ -309,8 +318,8 @@
 {
     const TimeMs now = monotonicMs();
     if (m_state.decisions.takeFailure(now)) {
-        m_state.decisions.write(describe(work, now) + " outcome=retry reason=" + std::string(reasonName(work.lastReason))
-                                + " delay_ms=" + std::to_string(delayMs));
+        m_state.decisions.write(describe(work, now) + " outcome=retry reason="
+                                + std::string(reasonName(work.lastReason)) + " delay_ms=" + std::to_string(delayMs));
     }
 }
 
@@ -321,9 +330,8 @@
         return;
     }
     m_state.decisions.write(describe(work, now) + " outcome=" + std::string(verdictName(action.verdict))
-                            + " reason=" + std::string(reasonName(action.reason))
-                            + " last_reason=" + std::string(reasonName(work.lastReason))
-                            + " status=" + std::to_string(action.status)
+                            + " reason=" + std::string(reasonName(action.reason)) + " last_reason="
+                            + std::string(reasonName(work.lastReason)) + " status=" + std::to_string(action.status)
                             + " retry_after_ms=" + std::to_string(action.retryAfterMs));
 }
 
@@ -374,8 +382,12 @@
         m_state.metrics.countRefusal(action.reason);
         m_state.refused.fetch_add(action.verdict == Verdict::NotRun ? 1 : 0, std::memory_order_relaxed);
     }
-    AnswerNotes notes{action.verdict,       action.reason, action.status, spreadRetry(work, action.retryAfterMs),
-                      work.request->fields.requestId, work.version};
+    AnswerNotes notes{action.verdict,
+                      action.reason,
+                      action.status,
+                      spreadRetry(work, action.retryAfterMs),
+                      work.request->fields.requestId,
+                      work.version};
     m_state.settings.dialect->addAnswerFields(notes, fields);
     if (action.reason != Reason::CallerGone) {
         work.request->call.responder->send(action.status, fields, std::move(body));
--- a/src/adapters/environment.h
+++ b/src/adapters/environment.h
@@ -19,8 +19,7 @@
 
     /// @param client, metrics, log must outlive the store
     virtual std::unique_ptr<PlatformStore> makeStore(HttpClient &client, MetricsSink &metrics, EventLog &log,
-                                                     const SocketAddress &address) const
-        = 0;
+                                                     const SocketAddress &address) const = 0;
     /// @param service announced by the backend server beside the node
     virtual std::shared_ptr<const RequestDialect> makeDialect(const std::string &service) const = 0;
     /// Decodes an announcement of a backend server. Empty, with the reason, for a call that is none or is damaged.
--- a/src/adapters/localbackend.cpp
+++ b/src/adapters/localbackend.cpp
@@ -144,6 +144,9 @@
         guarded.objectiveMs = request.objectiveMs;
         guarded.objective = now + request.objectiveLeftMs;
     }
+    if (request.__isset.spillLeftMs) {
+        guarded.spillBy = now + request.spillLeftMs;
+    }
     const GuardDecision decision = m_guard.submit(guarded, now);
     admission.entry = decision.id;
     if (decision.state == GuardState::Run) {
--- a/src/adapters/requestdialect.cpp
+++ b/src/adapters/requestdialect.cpp
@@ -61,7 +61,7 @@
 } // namespace
 
 bool readNumberField(const HttpFields &fields, std::string_view name, std::int64_t low, std::int64_t high,
-                std::optional<std::int64_t> &value, LastReason &error)
+                     std::optional<std::int64_t> &value, LastReason &error)
 {
     const std::string_view text = fieldValue(fields, name);
     if (text.empty()) {
@@ -79,7 +79,7 @@
 }
 
 bool readTokenField(const HttpFields &fields, std::string_view name, std::size_t maxBytes, std::string &value,
-               LastReason &error)
+                    LastReason &error)
 {
     const std::string_view text = fieldValue(fields, name);
     const bool printable = std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -153,8 +153,8 @@
     });
 }
 
-void SettingsSchema::addNumber(std::string key, std::string description, std::string defaultText, double min, double max,
-                               double &out)
+void SettingsSchema::addNumber(std::string key, std::string description, std::string defaultText, double min,
+                               double max, double &out)
 {
     add(std::move(key), std::move(description), std::move(defaultText),
         [min, max, &out](std::string_view text, LastReason &error) {
--- a/src/core/balancerview.cpp
+++ b/src/core/balancerview.cpp
@@ -154,7 +154,15 @@
         }
     }
     BackendHandle chosen;
-    if (!zoneIsFull(service, now)) {
+    if (m_config.zoneFirst) {
+        chosen = pickOfTwo(
+            service,
+            [&](const Candidate &host) {
+                return host.ownZone && isGood(host)
+                    && now - host.state->refusedAt.load(kRelaxed) >= m_config.zoneRefusalHoldMs;
+            },
+            random, now);
+    } else if (!zoneIsFull(service, now)) {
         chosen = pickOfTwo(
             service, [&](const Candidate &host) { return host.ownZone && isGood(host); }, random, now);
     }
@@ -171,6 +179,18 @@
     return chosen;
 }
 
+bool BalancerView::canSpill(BackendHandle handle, const TriedHosts &tried) const
+{
+    const ServiceHandle service{m_serviceOf[handle.idx]};
+    bool own = false;
+    bool other = false;
+    for (const Candidate &host : candidates(service)) {
+        own = own || (host.handle.idx == handle.idx && host.ownZone);
+        other = other || (!host.ownZone && !host.suspect && !tried.contains(host.state));
+    }
+    return own && other;
+}
+
 bool BalancerView::hasUntried(ServiceHandle service, const TriedHosts &tried) const
 {
     const auto hosts = candidates(service);
@@ -213,6 +233,7 @@
     }
     if (end == AttemptEnd::Refused) {
         host.refusedUntil.store(now + m_config.refusalHoldMs, kRelaxed);
+        host.refusedAt.store(now, kRelaxed);
     } else if (end == AttemptEnd::Failed || end == AttemptEnd::TimedOut) {
         if (host.failures.fetch_add(1, kRelaxed) + 1 >= m_config.consecutiveFailures) {
             eject(service, host, now);
--- a/src/core/manifest.cpp
+++ b/src/core/manifest.cpp
@@ -48,13 +48,15 @@
 /// A service known by announcement is named by its backend servers, which may use more characters.
 bool isAnnouncedName(std::string_view text)
 {
-    const auto allowed = [](char c) { return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.'; };
+    const auto allowed
+        = [](char c) { return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.'; };
     return !text.empty() && text.size() <= kMaxNameLength && std::all_of(text.begin(), text.end(), allowed);
 }
 
 bool isHostName(std::string_view text)
 {
-    const auto allowed = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.'; };
+    const auto allowed
+        = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.'; };
     return !text.empty() && text.size() <= kMaxHostLength && std::all_of(text.begin(), text.end(), allowed);
 }
 
@@ -183,7 +185,8 @@
         }
         out.push_back({value[i]["service"].get<std::string>(), static_cast<std::uint32_t>(weight)});
     }
-    const bool anyWeight = std::any_of(out.begin(), out.end(), [](const RouteTarget &target) { return target.weight > 0; });
+    const bool anyWeight
+        = std::any_of(out.begin(), out.end(), [](const RouteTarget &target) { return target.weight > 0; });
     return anyWeight || fail(error, field, "must hold a weight above 0");
 }
 
@@ -323,7 +326,8 @@
 }
 
 /// First target that is no service of the manifest, or null.
-const std::string *missingService(const RouteSpec &route, const std::map<std::string, ServiceSpec, std::less<>> &services)
+const std::string *missingService(const RouteSpec &route,
+                                  const std::map<std::string, ServiceSpec, std::less<>> &services)
 {
     for (const RouteTarget &target : route.targets) {
         if (!services.contains(target.service)) {
--- a/src/core/probe.cpp
+++ b/src/core/probe.cpp
@@ -127,7 +127,8 @@
         nextTombstoneAt = now + jitter(settings.tombstoneProbeMs);
     }
     const std::uint32_t slot = table.tombstones()[random.below(table.tombstones().size())];
-    if (table.record(slot).state != wire::HostState::Left) {
+    const TimeMs goneSince = table.entry(slot).deadline - settings.tombstoneMs;
+    if (table.record(slot).state != wire::HostState::Left || now - goneSince < settings.probeLeftMs) {
         sendPing(slot, ++sequence);
     }
 }
--- a/src/core/requestsession.cpp
+++ b/src/core/requestsession.cpp
@@ -114,6 +114,7 @@
     action.attempt = m_attempt;
     action.backend = m_backend;
     action.ownHost = m_view->isOwnHost(m_backend);
+    action.maySpill = m_request.key.empty() && m_view->canSpill(m_backend, m_tried);
     action.until = m_request.deadline;
     actions.add(action);
     return actions;
--- a/src/core/retry.cpp
+++ b/src/core/retry.cpp
@@ -113,6 +113,7 @@
     case Reason::WrongHost:
     case Reason::ShedLoad:
     case Reason::WrongInstance:
+    case Reason::ZoneBusy:
         return true;
     default:
         // Includes "attempts" and "retry-budget": a node further down the call chain has retried already.
--- a/src/core/slotguard.cpp
+++ b/src/core/slotguard.cpp
@@ -167,6 +167,9 @@
         return Reason::DeadlineExceeded;
     }
     const double waitMs = mayStart(request.serviceClass, now) ? 0 : expectedWaitMs(entry, now);
+    if (request.spillBy > 0 && waitMs > 0 && static_cast<double>(request.spillBy - now) < waitMs + serviceMs(entry)) {
+        return Reason::ZoneBusy;
+    }
     const bool admitted = canMeet(entry, waitMs, now) && isWorthWaiting(entry, waitMs, now);
     return admitted ? Reason::None : Reason::DeadlineUnreachable;
 }
@@ -186,21 +189,19 @@
     return entry.objectiveMs > 0 && static_cast<double>(entry.objective - now) < serviceMs(entry);
 }
 
-// Under sustained overload a long queue makes every answer late. Requests that will miss their objective wait only in
-// small numbers, to fill gaps; the others are sent away at once and come back when there is room.
+// Under sustained overload every admitted request waits for as long as admission allows, so the bound decides whether
+// answers come in time. A request that has lost time elsewhere is held to the whole objective too: it is late because
+// of that, and the wait here is as short as for others.
 bool SlotGuard::isWorthWaiting(const Entry &entry, double waitMs, TimeMs now) const
 {
-    const double finishMs = waitMs + serviceMs(entry);
-    if (entry.objectiveMs == 0 || waitMs == 0 || static_cast<double>(entry.objective - now) >= finishMs) {
+    if (entry.objectiveMs == 0 || waitMs == 0
+        || static_cast<double>(entry.objectiveMs) >= waitMs + serviceMs(entry) * m_config.serviceMargin) {
         return true;
     }
-    if (static_cast<double>(entry.deadline - now) * m_config.lateDeadlinePart < finishMs) {
-        return false;
-    }
-    const auto late = std::count_if(m_entries.begin(), m_entries.end(), [&](const Entry &other) {
-        return other.state == GuardState::Wait && isLate(other, now);
+    // The first in line gets the next slot. This admits nested calls beside slow work, whose callers hold slots.
+    return std::none_of(m_entries.begin(), m_entries.end(), [&](const Entry &other) {
+        return other.state == GuardState::Wait && goesBefore(other, entry, now);
     });
-    return static_cast<double>(late) < m_config.latePerSlot * m_slots;
 }
 
 double SlotGuard::runningMeanMs() const
@@ -295,7 +296,8 @@
     }
     const bool lowerRank = candidate.rank < last->rank;
     const bool sameRank = candidate.rank == last->rank;
-    const bool lessWork = sameRank && candidate.objectiveMs == 0 && workOf(callerHash) + 1 < m_callers[last->caller].work;
+    const bool lessWork
+        = sameRank && candidate.objectiveMs == 0 && workOf(callerHash) + 1 < m_callers[last->caller].work;
     const bool shorter = sameRank && candidate.objectiveMs > 0 && candidate.objectiveMs < last->objectiveMs;
     if (!lowerRank && !lessWork && !shorter) {
         return false;
--- a/src/core/spread.cpp
+++ b/src/core/spread.cpp
@@ -156,8 +156,7 @@
     }
     // A node that has run nothing may have run a higher version before it restarted, so it waits for the floor.
     const bool aboveFloor = m_floor ? newest >= *m_floor : m_running.version > 0;
-    const bool waitedEnough
-        = m_settings.replicateLimitMs > 0 && m_now - m_heldSince >= m_settings.replicateLimitMs;
+    const bool waitedEnough = m_settings.replicateLimitMs > 0 && m_now - m_heldSince >= m_settings.replicateLimitMs;
     const bool replicated = m_confirmed || waitedEnough || m_members.liveCount() <= 1;
     if (!aboveFloor || !replicated) {
         return;
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -47,6 +47,7 @@
         "answer-not-kept",
         "foreign-answer",
         "wrong-instance",
+        "zone-busy",
     };
     const auto index = static_cast<std::size_t>(reason);
     return index < kNames.size() ? kNames[index] : "unknown";
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -8,10 +8,10 @@
 #include "fulmarledge/controlnode.h"
 #include "httpclient.h"
 #include "httpserver.h"
-#include "nativeenvironment.h"
 #include "ioloop.h"
 #include "log.h"
 #include "metrics.h"
+#include "nativeenvironment.h"
 #include "node_admin.h"
 #include "node_backend.h"
 #include "node_settings.h"
@@ -262,8 +262,9 @@
         announcement.instance = current.instance;
         m_backend = announcement;
         logEvent("backend-" + std::string(stateName(current.state)),
-                 "service=" + current.service + " instance=" + current.instance + " born=" + std::to_string(current.bornMs)
-                     + " sequence=" + std::to_string(current.sequence) + (current.leaves ? " leaves" : ""));
+                 "service=" + current.service + " instance=" + current.instance
+                     + " born=" + std::to_string(current.bornMs) + " sequence=" + std::to_string(current.sequence)
+                     + (current.leaves ? " leaves" : ""));
         applyBackend(now);
     }
 
--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -23,8 +23,8 @@
     schema.addPort("node.control_port", "UDP and TCP port for control messages of other nodes", "8082",
                    settings.controlPort);
     schema.addPort("node.hop_port", "TCP port for requests of other nodes", "8083", settings.hopPort);
-    schema.addChoice("platform.kind", "own: the project's object API; users: the users' platform", "own", {"own", "users"},
-                     [&settings](std::size_t choice) { settings.usersPlatform = choice == 1; });
+    schema.addChoice("platform.kind", "own: the project's object API; users: the users' platform", "own",
+                     {"own", "users"}, [&settings](std::size_t choice) { settings.usersPlatform = choice == 1; });
     schema.addOptionalAddress("node.caller_address", "IP:PORT for callers, in place of address and caller_port",
                               settings.callerAddress);
     schema.addOptionalAddress("node.announce_address", "IP:PORT for the backend server's announcements",
@@ -57,7 +57,24 @@
     schema.addDuration("membership.suspicion", "shortest time from suspicion to removal of a silent member", "3s", 500,
                        60000, membership.suspicionMinMs);
 
+    schema.addDuration("membership.tombstone_probe", "period of probes to members that are gone", "2s", 100, 60000,
+                       membership.tombstoneProbeMs);
+    schema.addDuration("membership.probe_left", "how long hosts that left are probed, to find them when they return",
+                       "0s", 0, 600000, membership.probeLeftMs);
+    schema.addInteger("spread.other_zone_every", "each n-th version advert goes to another data centre", "8", 1, 1000,
+                      spread.otherZoneEvery);
+    schema.addDuration("spread.backoff_max", "longest pause between calls to a platform that does not answer", "2s",
+                       100, 60000, spread.backoffMaxMs);
+    schema.addDuration("spread.head_check", "period of plain reads beside a watch, which may hear nothing", "3s", 500,
+                       60000, spread.headCheckMs);
+
     RequestPathSettings &requests = settings.requests;
+    schema.addDuration("hop.beat", "period of heartbeats on connections between nodes", "1s", 50, 60000,
+                       requests.hopConfig.beatMs);
+    schema.addDuration("hop.silence", "silence after which a connection between nodes is replaced", "3s", 100, 60000,
+                       requests.hopConfig.silenceMs);
+    schema.addDuration("hop.connect_timeout", "time to open a connection to another node", "1s", 50, 60000,
+                       requests.hopConfig.connectTimeoutMs);
     schema.addInteger("requests.http_threads", "threads that parse callers' requests", "2", 1, 64,
                       requests.httpThreads);
     schema.addInteger("requests.data_threads", "threads that carry requests to other nodes and to the backend server",
@@ -78,10 +95,17 @@
     schema.addDuration("spread.replicate_limit",
                        "longest wait for a second holder before a version read from the platform is run; 0 waits",
                        "0ms", 0, 60000, spread.replicateLimitMs);
-    schema.addNumber("retry.shared_ratio", "retries of the whole fleet as a share of requests; 0: each node's own budget",
-                     "0", 0, 1, settings.retryRatio);
+    schema.addNumber("retry.shared_ratio",
+                     "retries of the whole fleet as a share of requests; 0: each node's own budget", "0", 0, 1,
+                     settings.retryRatio);
     schema.addNumber("retry.shared_extra", "further retries of the whole fleet in 10 s", "0", 0, 1000000,
                      settings.retryExtra);
+    schema.addChoice("requests.zone_first", "try the own data centre first: no, by reported load; yes, always", "no",
+                     {"no", "yes"}, [&requests](std::size_t choice) { requests.balancer.zoneFirst = choice == 1; });
+    schema.addInteger("requests.max_attempts", "hosts that one request may be sent to, refusals included", "3", 1, 16,
+                      settings.maxAttempts);
+    schema.addInteger("requests.eject_after", "failures in a row after which a host is avoided", "5", 1, 1000,
+                      settings.ejectAfter);
     schema.addDuration("backend.slow_start", "time in which a backend server that joins gets less than its share",
                        "10s", 0, 600000, requests.balancer.slowStartMs);
     schema.addChoice("log.level", "error, warn, info or debug", "info", {"error", "warn", "info", "debug"},
@@ -97,6 +121,8 @@
     settings.control.spread.expectedFleet = static_cast<std::size_t>(settings.expectedHosts);
     settings.control.membership.plannedMembers = settings.expectedHosts;
     settings.control.membership.contactReadsPerSecond = kContactReadsPerSecond;
+    settings.requests.retry.maxAttempts = static_cast<std::uint32_t>(settings.maxAttempts);
+    settings.requests.balancer.consecutiveFailures = static_cast<std::uint32_t>(settings.ejectAfter);
     settings.requests.host = settings.host;
     settings.requests.zone = settings.zone;
     settings.requests.caller = settings.callerAddress.value_or(SocketAddress{settings.address, settings.callerPort});
--- a/src/programs/node_settings.h
+++ b/src/programs/node_settings.h
@@ -29,6 +29,8 @@
     TimeMs leaveDelayMs = 0;
     TimeMs handoverMs = 0;
     TimeMs graceMs = 0;
+    int maxAttempts = 0;
+    int ejectAfter = 0;
     double retryRatio = 0; ///< of the budget that all nodes share; 0 for a budget of each node
     double retryExtra = 0;
     ControlSettings control;
--- /dev/null
+++ b/tests/adapter_platform.cpp
@@ -0,0 +1,175 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "configuration.h"
+#include "heartbeat.h"
+#include "platformdialect.h"
+#include "request_fakes.h"
+
+using namespace fulmarledge;
+using nlohmann::json;
+
+namespace {
+
+const json kSpec = json::parse(R"({"version":7,
+  "routes":{"columns":["name","host","pathPrefix","kind","timeoutMs","targetLatencyMs","priority","backends","maxAttempts","service"],
+    "rows":[["r-1","jepu9.example","/lepu270/","safe",2000,600,2,[{"service":"huvo11a","weight":90},{"service":"kafi81c","weight":10}],2,null],
+            ["r-2","hulo84.example","/xapu221/ny95/","unsafe",2500.0,800,1,null,2,"wuno96b"]]},
+  "services":{"columns":["name","healthPath","maxConnections","protocol","tls"],
+    "rows":[["huvo11a","/health",110,"h1",false],["kafi81c","/health",110,"h1",false],["wuno96b","/health",110,"h1",false]]},
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+
+HttpCall heartbeat(const std::string &body, std::string method = "PUT")
+{
+    HttpCall call;
+    call.method = std::move(method);
+    call.path = "/api/instances/i-7f3a91c2";
+    call.body = body;
+    return call;
+}
+
+constexpr const char *kHeartbeat
+    = R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"ikeja","version":"v1","slots":12,"state":"ready",)"
+      R"("warmupLeftMs":0,"seq":4,"born":1768724001000})";
+
+AnswerJudgement judge(int status, const HttpFields &fields)
+{
+    return PlatformDialect("huvo11a").judge(status, fields, {"9c41", 100, "i-1"});
+}
+
+} // namespace
+
+// Guards against a decoded configuration that differs from what the operator wrote.
+TEST_CASE("the operators' configuration becomes a manifest")
+{
+    LastReason error;
+    const auto configuration = readConfiguration(kSpec, error);
+    INFO(error.text());
+    REQUIRE(configuration);
+    CHECK(configuration->version == 7);
+    const RouteSpec &split = configuration->manifest.routes().at("jepu9.example/lepu270/");
+    CHECK(split.kind == RequestKind::Safe);
+    CHECK(split.targets.size() == 2);
+    CHECK(split.targets[0].weight == 90);
+    CHECK(split.targetLatencyMs == 600);
+    const RouteSpec &plain = configuration->manifest.routes().at("hulo84.example/xapu221/ny95/");
+    CHECK(plain.kind == RequestKind::Unsafe);
+    CHECK(plain.timeoutMs == 2500);
+    CHECK(plain.maxAttempts == 2);
+    CHECK(plain.priority == 1);
+    CHECK(configuration->manifest.limits().maxBodyBytes == 67108864);
+}
+
+// Guards against a damaged configuration that is applied in part or ends the process.
+TEST_CASE("a damaged configuration is refused with a reason")
+{
+    SECTION("fields of another type or missing")
+    {
+        for (const char *path : {"/version", "/routes", "/services", "/routes/rows/0/1", "/routes/rows/1/9",
+                                 "/services/rows/2/0", "/routes/rows/0/7/0/service", "/routes/columns"}) {
+            INFO(path);
+            json damaged = kSpec;
+            damaged[json::json_pointer(path)] = json::array({json::object()});
+            LastReason error;
+            CHECK_FALSE(readConfiguration(damaged, error));
+            CHECK_FALSE(error.text().empty());
+        }
+    }
+    SECTION("random damage")
+    {
+        requesttest::SeededRandom random(11);
+        const std::string text = kSpec.dump();
+        for (int i = 0; i < 3000; ++i) {
+            std::string damaged = text;
+            for (std::uint64_t n = random.below(4) + 1; n > 0; --n) {
+                damaged[random.below(damaged.size())] = static_cast<char>(random.below(256));
+            }
+            LastReason error;
+            const auto configuration = readConfiguration(json::parse(damaged, nullptr, false), error);
+            CHECK((configuration || !error.text().empty()));
+        }
+    }
+}
+
+// Guards against heartbeats of other writers that name a backend server to use.
+TEST_CASE("heartbeats are decoded, and damaged ones are refused with a reason")
+{
+    LastReason error;
+    const auto notice = readHeartbeat(heartbeat(kHeartbeat), error);
+    REQUIRE(notice);
+    CHECK(notice->instance == "i-7f3a91c2");
+    CHECK(notice->state == wire::HostState::Serving);
+    CHECK(notice->sequence == 4);
+    CHECK(notice->bornMs == 1768724001000);
+    CHECK(notice->address == SocketAddress{"10.128.0.9", 8080});
+    REQUIRE(readHeartbeat(heartbeat("", "DELETE"), error));
+    CHECK(readHeartbeat(heartbeat("", "DELETE"), error)->leaves);
+    const std::pair<const char *, json> damages[] = {{"service", 7},       {"address", "10.128.0.9"},
+                                                     {"address", true},    {"slots", "12"},
+                                                     {"slots", 0},         {"state", "sleeping"},
+                                                     {"seq", 4.5},         {"born", "1768724001000"},
+                                                     {"service", nullptr}, {"seq", -1},
+                                                     {"warmupLeftMs", {}}};
+    for (const auto &[key, value] : damages) {
+        INFO(key << " " << value.dump());
+        json body = json::parse(kHeartbeat);
+        body[key] = value;
+        CHECK_FALSE(readHeartbeat(heartbeat(body.dump()), error));
+    }
+    for (const char *body : {"", "[]", "\xff\xfe", "{", "null"}) {
+        CHECK_FALSE(readHeartbeat(heartbeat(body), error));
+    }
+    requesttest::SeededRandom random(5);
+    for (int i = 0; i < 3000; ++i) {
+        std::string body = kHeartbeat;
+        body[random.below(body.size())] = static_cast<char>(random.below(256));
+        body.resize(body.size() - random.below(3));
+        (void)readHeartbeat(heartbeat(body), error);
+    }
+}
+
+// Guards against "not run" for a request that ran, and against an answer that belongs to another request.
+TEST_CASE("answers are judged by their header")
+{
+    const std::pair<std::string, std::string> id{"X-Fulmarledge-Request-Id", "9c41"};
+    const std::pair<std::string, std::string> signature{"X-Fulmarledge-Response-Signature", "3e1b"};
+    CHECK(judge(200, {id, signature}).verdict == Verdict::Answered);
+    CHECK(judge(200, {id}).verdict == Verdict::MayHaveRun);
+    CHECK(judge(200, {{"X-Fulmarledge-Request-Id", "other"}, signature}).reason == Reason::ForeignAnswer);
+    CHECK(judge(200, {signature}).verdict == Verdict::MayHaveRun);
+    CHECK(judge(200, {id, signature, {"Content-Encoding", "gzip"}}).verdict == Verdict::MayHaveRun);
+    CHECK(judge(500, {id, signature}).verdict == Verdict::Answered);
+    CHECK(judge(504, {id}).verdict == Verdict::Answered);
+    CHECK(judge(503, {id, {"X-Fulmarledge-Not-Executed", "1"}}).reason == Reason::ShedLoad);
+    CHECK(judge(503, {id, signature}).verdict == Verdict::MayHaveRun);
+    CHECK(judge(429, {id}).verdict == Verdict::MayHaveRun);
+    CHECK(judge(421, {id, {"X-Fulmarledge-Instance-Id", "i-2"}}).reason == Reason::WrongInstance);
+}
+
+// Guards against fields that a caller could set in the system's name.
+TEST_CASE("the system sets the caller's service, the instance and the time left itself")
+{
+    const PlatformDialect dialect("huvo11a");
+    HttpCall call;
+    call.fields = {{"Host", "jepu9.example"},
+                   {"x-fulmarledge-caller-service", "forged"},
+                   {"X-Fulmarledge-Target-Instance", "forged"},
+                   {"X-Fulmarledge-Request-Id", "9c41"},
+                   {"X-Fulmarledge-Deadline-Ms", "3000"}};
+    LastReason error;
+    const auto caller = dialect.parseCaller(call, error);
+    REQUIRE(caller);
+    CHECK(caller->deadlineMs == 3000);
+    CHECK(caller->hostName == "jepu9.example");
+    std::vector<wire::HttpField> fields = endToEndFields(call.fields, dialect);
+    dialect.addEntryFields(*caller, fields);
+    REQUIRE(fields.size() == 2);
+    CHECK(fields[0].name == "X-Fulmarledge-Request-Id");
+    CHECK(fields[1].value == "huvo11a");
+    HttpFields refused;
+    AnswerNotes notes;
+    notes.status = 503;
+    notes.retryAfterMs = 250;
+    dialect.addAnswerFields(notes, refused);
+    CHECK(fieldValue(refused, "Retry-After") == "0.250");
+}
--- /dev/null
+++ b/tests/core_backendlife.cpp
@@ -0,0 +1,79 @@
+#include <catch2/catch.hpp>
+
+#include "fulmarledge/backendlife.h"
+
+using namespace fulmarledge;
+
+namespace {
+
+BackendNotice notice(std::string instance, std::int64_t bornMs, std::int64_t sequence,
+                     wire::HostState::type state = wire::HostState::Serving)
+{
+    BackendNotice result;
+    result.instance = std::move(instance);
+    result.bornMs = bornMs;
+    result.sequence = sequence;
+    result.service = "bookings";
+    result.address = {"10.0.0.1", 8080};
+    result.slots = 12;
+    result.state = state;
+    return result;
+}
+
+BackendNotice leave(std::string instance)
+{
+    BackendNotice result;
+    result.leaves = true;
+    result.instance = std::move(instance);
+    return result;
+}
+
+} // namespace
+
+// Guards against a late announcement that brings a draining backend server back.
+TEST_CASE("late and repeated announcements of one process change nothing")
+{
+    BackendLife life;
+    CHECK(life.apply(notice("a", 1000, 4), 0) == NoticeEffect::Applied);
+    CHECK(life.apply(notice("a", 1000, 4), 10) == NoticeEffect::Stale);
+    CHECK(life.apply(notice("a", 1000, 6, wire::HostState::Draining), 20) == NoticeEffect::Applied);
+    CHECK(life.apply(notice("a", 1000, 5), 30) == NoticeEffect::Stale);
+    CHECK(life.apply(notice("a", 1000, 7), 40) == NoticeEffect::Repeated);
+    CHECK(life.current().state == wire::HostState::Draining);
+}
+
+// Guards against an announcement from an earlier life of the address, delayed behind a partition.
+TEST_CASE("announcements of earlier processes change nothing")
+{
+    BackendLife life;
+    life.apply(notice("a", 1000, 90), 0);
+    CHECK(life.apply(notice("b", 5000, 1), 4000) == NoticeEffect::Applied);
+    CHECK(life.apply(notice("a", 1000, 91), 4100) == NoticeEffect::Stale);
+    CHECK(life.apply(leave("a"), 4200) == NoticeEffect::Stale);
+    CHECK(life.current().instance == "b");
+    // The same id with a later start is a new process whose sequence begins anew.
+    CHECK(life.apply(notice("b", 6000, 1), 5000) == NoticeEffect::Applied);
+    CHECK(life.apply(notice("b", 5000, 50), 5100) == NoticeEffect::Stale);
+    CHECK(life.current().bornMs == 6000);
+}
+
+// Guards against a wall clock that jumped back and keeps a new process out for good.
+TEST_CASE("an earlier start counts against a new process only while the old one may live")
+{
+    BackendLife life;
+    life.apply(notice("a", 900000, 1), 0);
+    CHECK(life.apply(notice("b", 100000, 1), 1000) == NoticeEffect::Stale);
+    CHECK(life.apply(notice("b", 100000, 5), 6000) == NoticeEffect::Applied);
+}
+
+// Guards against new work for a process that said it leaves without a draining announcement before.
+TEST_CASE("a process that leaves stays gone")
+{
+    BackendLife life;
+    life.apply(notice("a", 1000, 4), 0);
+    CHECK(life.apply(leave("a"), 10) == NoticeEffect::Applied);
+    CHECK(life.current().state == wire::HostState::Draining);
+    CHECK(life.apply(notice("a", 1000, 9), 20) == NoticeEffect::Stale);
+    CHECK(life.apply(notice("b", 0, 1), 30) == NoticeEffect::Applied);
+    CHECK(life.apply(notice("a", 1000, 10), 40) == NoticeEffect::Stale);
+}
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -118,6 +118,8 @@
   // Latency objective of the route and what is left of it, which may be negative, in ms.
   16: optional i32 objectiveMs
   17: optional i32 objectiveLeftMs
+  // Refused as busy if it would have to wait and not be finished within this time, because others may have room.
+  18: optional i32 spillLeftMs
 }
 
 struct HopResponse {
