--- a/tests/core_membershipcontacts.cpp
+++ b/tests/core_membershipcontacts.cpp
@@ -174,6 +174,33 @@
     }
 }
 
+// Guards against a host that restarts while the platform is away and stays alone until it returns: it knows nobody, and
+// the others have removed it after its planned stop.
+TEST_CASE("a host that left and restarts while the platform is away is found by the others")
+{
+    for (const std::uint64_t seed : seeds(5)) {
+        INFO("seed " << seed);
+        MembershipSettings settings;
+        settings.plannedMembers = 13;
+        settings.tombstoneProbeMs = 500;
+        settings.probeLeftMs = 60000;
+        Fleet fleet(seed, settings);
+        fleet.addMany(13);
+        fleet.startAll();
+        REQUIRE(fleet.runUntil([&] { return fleet.nodes.front()->core->liveCount() == 13; }, 20000));
+        fleet.platform.mode = StoreStatus::Unavailable;
+        Fleet::Node &host = *fleet.nodes.front();
+        host.core->leave(fleet.scheduler.now);
+        fleet.run(200);
+        fleet.kill(host);
+        fleet.run(3000);
+        REQUIRE(fleet.nodes.back()->core->liveCount() == 12);
+        fleet.start(host);
+        // Twelve members probe the host every half second each; the table follows with the first answer.
+        CHECK(fleet.runUntil([&] { return host.core->liveCount() == 13; }, 3000));
+    }
+}
+
 // Guards against a write whose answer was lost leaving its host outside, or written twice.
 TEST_CASE("a contact write with unknown outcome is settled by reading")
 {
