--- a/src/adapters/httpstore.cpp
+++ b/src/adapters/httpstore.cpp
@@ -83,19 +83,13 @@
     return "unknown";
 }
 
-StoreStatus HttpStore::statusOf(Operation operation, const HttpResult &result)
+StoreStatus storeStatusOf(const HttpResult &result, bool isWrite)
 {
-    const bool write
-        = operation == Operation::Create || operation == Operation::Update || operation == Operation::Remove;
     if (result.verdict != Verdict::Answered) {
-        return write && result.verdict == Verdict::MayHaveRun ? StoreStatus::UnknownOutcome : StoreStatus::Unavailable;
+        return isWrite && result.verdict == Verdict::MayHaveRun ? StoreStatus::UnknownOutcome
+                                                                : StoreStatus::Unavailable;
     }
     switch (result.status) {
-    case 200:
-    case 201:
-        return StoreStatus::Ok;
-    case 204:
-        return operation == Operation::Watch ? StoreStatus::Unchanged : StoreStatus::Ok;
     case 404:
         return StoreStatus::NotFound;
     case 409:
@@ -110,11 +104,23 @@
     default:
         break;
     }
+    if (result.status >= 200 && result.status < 300) {
+        return StoreStatus::Ok;
+    }
     if (result.status >= 400 && result.status < 500) {
         return StoreStatus::Invalid;
     }
     // Another 5xx status may come from an intermediary that lost the platform's answer.
-    return write ? StoreStatus::UnknownOutcome : StoreStatus::Unavailable;
+    return isWrite ? StoreStatus::UnknownOutcome : StoreStatus::Unavailable;
+}
+
+StoreStatus HttpStore::statusOf(Operation operation, const HttpResult &result)
+{
+    if (operation == Operation::Watch && result.verdict == Verdict::Answered && result.status == 204) {
+        return StoreStatus::Unchanged;
+    }
+    return storeStatusOf(
+        result, operation == Operation::Create || operation == Operation::Update || operation == Operation::Remove);
 }
 
 StoreReply HttpStore::replyOf(Operation operation, std::string_view kind, std::string_view name, HttpResult result)
--- a/src/adapters/httpstore.h
+++ b/src/adapters/httpstore.h
@@ -11,6 +11,9 @@
 /// Field with the object's version in responses of the platform.
 constexpr std::string_view kObjectVersionField = "Object-Version";
 
+/// Status of a call to an object store, by the statuses of HTTP that such stores share.
+StoreStatus storeStatusOf(const HttpResult &result, bool isWrite);
+
 /// The platform's object API over HTTP. Belongs to the thread of the client's loop.
 class HttpStore : public PlatformStore
 {
--- /dev/null
+++ b/src/core/manifestjson_p.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <initializer_list>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fulmarledge/manifest.h"
+
+namespace fulmarledge {
+
+using nlohmann::json;
+
+/// Sets `error` to the field and the reason. Always false.
+bool fail(LastReason &error, std::string_view field, std::string_view reason);
+
+/// Parses JSON and refuses an object that repeats a key, which would otherwise keep the last value silently.
+std::optional<json> parseStrict(std::string_view text, LastReason &error);
+
+bool onlyKeys(const json &object, std::string_view field, std::initializer_list<std::string_view> allowed,
+              LastReason &error);
+
+// Entries of a manifest. `field` names the entry in errors.
+bool readService(const json &value, const std::string &field, ServiceSpec &out, LastReason &error);
+bool readRoute(const json &value, const std::string &field, RouteSpec &out, LastReason &error);
+bool readLimits(const json &value, CallerLimits &out, LastReason &error);
+
+// Without defaults, so that equal entries have equal texts.
+json serviceToJson(const ServiceSpec &service);
+json routeToJson(const RouteSpec &route);
+json limitsToJson(const CallerLimits &limits);
+
+} // namespace fulmarledge
