Let slow start follow the warm-up that a backend server states

A process that replaced another behind a record that stayed in service got its whole share at once. Change: an optional field of the host record carries the stated warm-up; the balancer shortens slow start to it and starts anew when it grows. Ruled out: dropping slow start, because endpoints that join cold are slower for seconds.

--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -160,6 +160,11 @@
 void HostRecord::__set_slots(const int32_t val) {
   this->slots = val;
 }
+
+void HostRecord::__set_warmupLeftMs(const int32_t val) {
+  this->warmupLeftMs = val;
+__isset.warmupLeftMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostRecord& obj)
 {
   obj.printTo(out);
@@ -288,6 +293,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->warmupLeftMs);
+          this->__isset.warmupLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -353,6 +366,11 @@
   xfer += oprot->writeI32(this->slots);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.warmupLeftMs) {
+    xfer += oprot->writeFieldBegin("warmupLeftMs", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->warmupLeftMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -372,6 +390,7 @@
   swap(a.state, b.state);
   swap(a.liveness, b.liveness);
   swap(a.slots, b.slots);
+  swap(a.warmupLeftMs, b.warmupLeftMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -388,6 +407,7 @@
   state = other2.state;
   liveness = other2.liveness;
   slots = other2.slots;
+  warmupLeftMs = other2.warmupLeftMs;
   __isset = other2.__isset;
 }
 HostRecord::HostRecord(HostRecord&& other3) noexcept {
@@ -403,6 +423,7 @@
   state = other3.state;
   liveness = other3.liveness;
   slots = other3.slots;
+  warmupLeftMs = other3.warmupLeftMs;
   __isset = other3.__isset;
 }
 HostRecord& HostRecord::operator=(const HostRecord& other4) {
@@ -418,6 +439,7 @@
   state = other4.state;
   liveness = other4.liveness;
   slots = other4.slots;
+  warmupLeftMs = other4.warmupLeftMs;
   __isset = other4.__isset;
   return *this;
 }
@@ -434,6 +456,7 @@
   state = other5.state;
   liveness = other5.liveness;
   slots = other5.slots;
+  warmupLeftMs = other5.warmupLeftMs;
   __isset = other5.__isset;
   return *this;
 }
@@ -452,6 +475,7 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "liveness=" << to_string(liveness);
   out << ", " << "slots=" << to_string(slots);
+  out << ", " << "warmupLeftMs="; (__isset.warmupLeftMs ? (out << to_string(warmupLeftMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -113,7 +113,7 @@
 class HopFrame;
 
 typedef struct _HostRecord__isset {
-  _HostRecord__isset() : host(false), zone(false), serviceName(false), address(false), controlPort(false), hopPort(false), callerPort(false), adminPort(false), incarnation(false), state(false), liveness(false), slots(false) {}
+  _HostRecord__isset() : host(false), zone(false), serviceName(false), address(false), controlPort(false), hopPort(false), callerPort(false), adminPort(false), incarnation(false), state(false), liveness(false), slots(false), warmupLeftMs(false) {}
   bool host :1;
   bool zone :1;
   bool serviceName :1;
@@ -126,6 +126,7 @@
   bool state :1;
   bool liveness :1;
   bool slots :1;
+  bool warmupLeftMs :1;
 } _HostRecord__isset;
 
 class HostRecord : public virtual ::apache::thrift::TBase {
@@ -147,7 +148,8 @@
                incarnation(0),
                state(static_cast<HostState::type>(0)),
                liveness(static_cast<Liveness::type>(0)),
-               slots(0) {
+               slots(0),
+               warmupLeftMs(0) {
   }
 
   virtual ~HostRecord() noexcept;
@@ -171,6 +173,7 @@
    */
   Liveness::type liveness;
   int32_t slots;
+  int32_t warmupLeftMs;
 
   _HostRecord__isset __isset;
 
@@ -198,6 +201,8 @@
 
   void __set_slots(const int32_t val);
 
+  void __set_warmupLeftMs(const int32_t val);
+
   bool operator == (const HostRecord & rhs) const
   {
     if (!(host == rhs.host))
@@ -224,6 +229,10 @@
       return false;
     if (!(slots == rhs.slots))
       return false;
+    if (__isset.warmupLeftMs != rhs.__isset.warmupLeftMs)
+      return false;
+    else if (__isset.warmupLeftMs && !(warmupLeftMs == rhs.warmupLeftMs))
+      return false;
     return true;
   }
   bool operator != (const HostRecord &rhs) const {
--- a/include/fulmarledge/balancer.h
+++ b/include/fulmarledge/balancer.h
@@ -21,7 +21,7 @@
 struct SlotGauge;
 
 struct BalancerConfig {
-    TimeMs slowStartMs = 10000;
+    TimeMs slowStartMs = 10000; ///< the most, and for a backend server that does not state its warm-up
     TimeMs loadHalfLifeMs = 1000; ///< a reported load counts half after this time
     /// Tries the own data centre first and leaves it to the slot guards there to send a request on, instead of judging
     /// the data centre's load from reports.
@@ -199,11 +199,14 @@
         std::shared_ptr<HostState> state;
         std::string service;
         bool serving = false;
+        TimeMs warmup = 0; ///< as last stated by the backend server
         TimeMs lastSeen = 0;
     };
 
     Known &update(const SnapshotBackend &backend, const std::string &service, bool warm, TimeMs now);
     void addService(BalancerView &view, ServiceHandle handle, TimeMs now);
+    /// A backend server that is warm joins with its full share, for instance when only its node was restarted.
+    TimeMs slowStartLeft(const wire::HostRecord &record) const;
     void forget(TimeMs now);
 
     std::string m_ownHost;
--- a/include/fulmarledge/controlnode.h
+++ b/include/fulmarledge/controlnode.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "fulmarledge/membership.h"
@@ -54,7 +55,9 @@
     /// Expected every 50 ms.
     void onTick(TimeMs now, std::int64_t wallClockMs);
     void onMessage(TimeMs now, const wire::Envelope &message);
-    void setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName, std::int32_t slots);
+    /// @param warmupLeft how much longer the backend server stays slow after its start, if it says so
+    void setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName, std::int32_t slots,
+                       std::optional<TimeMs> warmupLeft = {});
     void leave(TimeMs now);
 
     const Membership &membership() const
--- a/include/fulmarledge/membership.h
+++ b/include/fulmarledge/membership.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -66,7 +67,9 @@
     void onTick(TimeMs now);
     /// Every received control message, of other modules too: the header tells that its sender is alive.
     void onMessage(TimeMs now, const wire::Envelope &message);
-    void setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName, std::int32_t slots);
+    /// @param warmupLeft how much longer the backend server stays slow after its start, if it says so
+    void setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName, std::int32_t slots,
+                       std::optional<TimeMs> warmupLeft = {});
     /// Announces that this host is about to exit. Later calls have no effect.
     void leave(TimeMs now);
     /// Treats the table as stale until another member has answered.
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -74,9 +74,10 @@
         known.serving = false;
     }
     const bool serving = isUsable(backend);
-    if (serving && !known.serving) {
+    const TimeMs warmup = backend.record ? backend.record->warmupLeftMs : 0;
+    if (serving && (!known.serving || warmup > known.warmup)) {
         HostState &state = *known.state;
-        state.servingSince = warm ? now - m_config.slowStartMs : now;
+        state.servingSince = now - m_config.slowStartMs + (warm ? 0 : slowStartLeft(*backend.record));
         // Outcomes and reports from before say nothing about the backend server that starts now.
         state.failures = 0;
         state.ejections = 0;
@@ -86,10 +87,17 @@
         state.report = 0;
     }
     known.serving = serving;
+    known.warmup = warmup;
     known.lastSeen = now;
     return known;
 }
 
+TimeMs Balancer::slowStartLeft(const wire::HostRecord &record) const
+{
+    return record.__isset.warmupLeftMs ? std::min<TimeMs>(record.warmupLeftMs, m_config.slowStartMs)
+                                       : m_config.slowStartMs;
+}
+
 void Balancer::forget(TimeMs now)
 {
     for (auto host = m_hosts.begin(); host != m_hosts.end();) {
--- a/src/core/controlnode.cpp
+++ b/src/core/controlnode.cpp
@@ -84,9 +84,9 @@
 }
 
 void ControlNode::setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName,
-                                std::int32_t slots)
+                                std::int32_t slots, std::optional<TimeMs> warmupLeft)
 {
-    m_membership.setLocalState(now, state, serviceName, slots);
+    m_membership.setLocalState(now, state, serviceName, slots, warmupLeft);
 }
 
 void ControlNode::leave(TimeMs now)
--- a/src/core/hosttable.cpp
+++ b/src/core/hosttable.cpp
@@ -67,6 +67,9 @@
     const std::array<std::int32_t, 6> numbers{record.controlPort, record.hopPort, record.callerPort,
                                               record.adminPort,   record.state,   record.slots};
     std::uint64_t hash = XXH3_64bits(numbers.data(), sizeof(numbers));
+    if (record.__isset.warmupLeftMs) {
+        hash = XXH3_64bits_withSeed(&record.warmupLeftMs, sizeof(record.warmupLeftMs), hash);
+    }
     for (const std::string *text : {&record.zone, &record.serviceName, &record.address}) {
         hash = XXH3_64bits_withSeed(text->data(), text->size(), hash);
     }
@@ -97,6 +100,9 @@
           std::int64_t{record.slots}}) {
         size += signedSize(number);
     }
+    if (record.__isset.warmupLeftMs) {
+        size += 1 + signedSize(record.warmupLeftMs);
+    }
     return size;
 }
 
@@ -110,7 +116,8 @@
         && record.address.size() <= kMaxNameLength && isPort(record.controlPort) && isPort(record.hopPort)
         && isPort(record.callerPort) && isPort(record.adminPort) && record.incarnation > 0
         && record.incarnation < kMaxIncarnation && state >= wire::HostState::Starting && state <= wire::HostState::Left
-        && liveness >= wire::Liveness::Alive && liveness <= wire::Liveness::Dead && record.slots >= 0;
+        && liveness >= wire::Liveness::Alive && liveness <= wire::Liveness::Dead && record.slots >= 0
+        && record.warmupLeftMs >= 0;
 }
 
 HostTable::HostTable(const wire::HostRecord &self)
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -12,6 +12,8 @@
 constexpr TimeMs kMaxGraceMs = 1000;
 constexpr int kChallengesPerSecond = 20;
 constexpr std::size_t kJoinThroughMembers = 3;
+/// Bounds what a backend server may claim. An hour: none needs longer.
+constexpr TimeMs kMaxWarmupMs = 3600000;
 
 } // namespace
 
@@ -222,16 +224,20 @@
 }
 
 void Membership::setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName,
-                               std::int32_t slots)
+                               std::int32_t slots, std::optional<TimeMs> warmupLeft)
 {
     m_d->now = now;
     wire::HostRecord record = m_d->self();
-    if (record.state == state && record.serviceName == serviceName && record.slots == slots) {
+    // The warm-up of one process only shrinks. A longer one is that of a new process.
+    const bool restarted = warmupLeft.value_or(0) > record.warmupLeftMs;
+    if (record.state == state && record.serviceName == serviceName && record.slots == slots && !restarted) {
         return;
     }
     record.state = state;
     record.serviceName = serviceName;
     record.slots = slots;
+    record.__isset.warmupLeftMs = warmupLeft.has_value();
+    record.warmupLeftMs = warmupLeft ? static_cast<std::int32_t>(std::clamp<TimeMs>(*warmupLeft, 0, kMaxWarmupMs)) : 0;
     if (!m_d->started) {
         m_d->table.set(record);
         return;
--- a/src/programs/node_backend.h
+++ b/src/programs/node_backend.h
@@ -19,6 +19,7 @@
     int load = 0;
     std::string ip; ///< empty for the address of the node
     std::string instance; ///< id of its process, empty when it has none
+    std::optional<TimeMs> warmupLeft; ///< not set when it does not say
 
     bool operator==(const Announcement &) const = default;
 
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -218,7 +218,7 @@
                                    static_cast<std::uint32_t>(m_backend->slots), m_backend->state, m_backend->load,
                                    m_backend->instance);
         m_control.setLocalState(now, m_leaving ? wire::HostState::Draining : m_backend->state, m_backend->service,
-                                m_backend->slots);
+                                m_backend->slots, m_backend->warmupLeft);
     }
 
     /// An announcement on the announcement address. Acknowledged once the guard of the backend server follows it.
@@ -260,6 +260,7 @@
         announcement.slots = current.slots;
         announcement.state = current.state;
         announcement.instance = current.instance;
+        announcement.warmupLeft = current.warmupMs;
         m_backend = announcement;
         logEvent("backend-" + std::string(stateName(current.state)),
                  "service=" + current.service + " instance=" + current.instance
@@ -362,7 +363,8 @@
         m_leaving = true;
         logEvent("draining", "planned stop");
         m_control.setLocalState(monotonicMs(), wire::HostState::Draining, m_backend ? m_backend->service : "",
-                                m_backend ? m_backend->slots : 0);
+                                m_backend ? m_backend->slots : 0,
+                                m_backend ? m_backend->warmupLeft : std::nullopt);
         if (m_settings.graceMs > 0) {
             m_loop.runAfter(m_settings.graceMs, [this] {
                 logEvent("grace-over", "outstanding=" + std::to_string(m_requests.stats().outstanding));
--- a/tests/core_balancer.cpp
+++ b/tests/core_balancer.cpp
@@ -152,6 +152,40 @@
     CHECK(share() > 2000 * 2 / 5);
 }
 
+// Guards against a warm backend server kept from its share because the node beside it was restarted, and against a full
+// share for a process that has replaced another.
+TEST_CASE("slow start lasts as long as the warm-up that the backend server states")
+{
+    Fixture f(2);
+    const auto share = [&f] {
+        int second = 0;
+        for (int i = 0; i < 2000; ++i) {
+            const BackendHandle handle = f.view->choose(kBookings, {}, f.random, f.now);
+            f.view->beginAttempt(handle);
+            second += handle.idx == 1 ? 1 : 0;
+        }
+        for (std::uint32_t host = 0; host < 2; ++host) {
+            f.view->state({host}).outstanding = 0;
+        }
+        return second;
+    };
+    f.records[1].liveness = wire::Liveness::Dead;
+    f.attach();
+    f.records[1].liveness = wire::Liveness::Alive;
+    f.records[1].__set_warmupLeftMs(0);
+    f.attach();
+    CHECK(share() > 2000 * 2 / 5);
+    f.records[1].__set_warmupLeftMs(4000);
+    f.attach();
+    const int atFirst = share();
+    CHECK(atFirst > 2000 / 4);
+    CHECK(atFirst < 2000 * 2 / 5 + 40);
+    f.now += 4000;
+    f.records[1].__set_warmupLeftMs(1000);
+    f.attach();
+    CHECK(share() > 2000 * 2 / 5);
+}
+
 // Guards against ejection that empties a service, and against one that never ends or never lengthens.
 TEST_CASE("failures eject for a time that doubles, never more than half of the hosts")
 {
--- a/tests/core_membership.cpp
+++ b/tests/core_membership.cpp
@@ -75,6 +75,8 @@
     wire::HostRecord record = host("ikeja-bookings-1", 1700000000000);
     for (const std::int32_t slots : {0, 12, 70, 100000}) {
         record.slots = slots;
+        record.__isset.warmupLeftMs = slots > 0;
+        record.warmupLeftMs = 30 * slots;
         wire::Envelope message;
         const std::size_t empty = encodedBytes(message);
         message.updates = {record};
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -18,6 +18,9 @@
   10: HostState state
   11: Liveness liveness
   12: i32 slots
+  // How much longer the backend server stays slow after its start, in ms from the last change of this record. Not set
+  // when it does not say.
+  13: optional i32 warmupLeftMs
 }
 
 // Sender of a message. Each message also advertises the manifest version that the sender runs.
