Accept manifests of the platform's largest value in the project's own form

Cause: found by reading: a configuration within the platform's 1 MiB is larger in our form, which names each field, and was refused above 1,000,000 bytes, by the decoder and by peers. Change: the bound of submissions stays; what the platform or a peer has accepted is bounded by the frame size. Test: "a configuration of the platform's largest value is read" (8,000 routes) fails on the version before.

--- a/include/fulmarledge/manifest.h
+++ b/include/fulmarledge/manifest.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fulmarledge/config.h"
 #include "fulmarledge/types.h"
 #include "fulmarledge_types.h"
 
@@ -80,7 +81,8 @@
 {
 public:
     /// Parses and checks `text`. On failure sets `error` to the field and the reason.
-    static std::optional<Manifest> parse(std::string_view text, LastReason &error);
+    static std::optional<Manifest> parse(std::string_view text, LastReason &error,
+                                         std::size_t maxBytes = FULMARLEDGE_CONFIG_MAX_MANIFEST_BYTES);
 
     const std::map<std::string, ServiceSpec, std::less<>> &services() const
     {
--- a/src/core/heldmanifests.cpp
+++ b/src/core/heldmanifests.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// A manifest from the platform or from a peer has been accepted by size before. Bounds what a damaged message claims.
+constexpr std::size_t kMaxTextBytes = FULMARLEDGE_CONFIG_MAX_FRAME_BYTES;
+
 std::size_t deltaSize(const wire::ManifestDelta &delta)
 {
     std::size_t size = 0;
@@ -69,7 +72,7 @@
     LastReason reason;
     std::optional<Manifest> manifest;
     if (content.__isset.full) {
-        manifest = Manifest::parse(content.full, reason);
+        manifest = Manifest::parse(content.full, reason, kMaxTextBytes);
         // A corrupted text must not be taken for an invalid manifest, which is never fetched again.
         if (!manifest && sha256Hex(content.full) != content.digest) {
             error = {BuildFailure::DigestMismatch, "text does not have the digest " + content.digest};
--- a/src/core/manifest.cpp
+++ b/src/core/manifest.cpp
@@ -26,12 +26,11 @@
 
 } // namespace
 
-std::optional<Manifest> Manifest::parse(std::string_view text, LastReason &error)
+std::optional<Manifest> Manifest::parse(std::string_view text, LastReason &error, std::size_t maxBytes)
 {
-    if (text.size() > FULMARLEDGE_CONFIG_MAX_MANIFEST_BYTES) {
+    if (text.size() > maxBytes) {
         fail(error, "manifest",
-             std::to_string(text.size()) + " bytes, more than "
-                 + std::to_string(FULMARLEDGE_CONFIG_MAX_MANIFEST_BYTES));
+             std::to_string(text.size()) + " bytes, more than " + std::to_string(maxBytes));
         return std::nullopt;
     }
     const auto document = parseStrict(text, error);
--- a/tests/adapter_platform.cpp
+++ b/tests/adapter_platform.cpp
@@ -39,6 +39,25 @@
 
 } // namespace
 
+// Guards against a configuration that the platform accepted and the nodes refuse because of its size in their own form.
+TEST_CASE("a configuration of the platform's largest value is read")
+{
+    nlohmann::json spec = kSpec;
+    const nlohmann::json row = spec["routes"]["rows"][0];
+    while (spec["routes"]["rows"].size() < 8000) {
+        nlohmann::json more = row;
+        more[2] = "/r" + std::to_string(spec["routes"]["rows"].size()) + "/";
+        spec["routes"]["rows"].push_back(more);
+    }
+    REQUIRE(spec.dump().size() < 1048576);
+    LastReason error;
+    const auto configuration = readConfiguration(spec, error);
+    INFO(error.text());
+    REQUIRE(configuration);
+    CHECK(configuration->manifest.routes().size() == 8000);
+    CHECK(configuration->manifest.canonicalText().size() > FULMARLEDGE_CONFIG_MAX_MANIFEST_BYTES);
+}
+
 // Guards against a decoded configuration that differs from what the operator wrote.
 TEST_CASE("the operators' configuration becomes a manifest")
 {
