Compress control frames between nodes

Cause: the first manifest of the grown sites is about 400 KB with its 1,600 idle routes. Change: frames over TCP are compressed with Zstandard at its fastest level; datagrams are not. Ruled out: compression in the manifest itself, because deltas and table replies need it too.

--- /dev/null
+++ b/src/adapters/packedtext.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fulmarledge {
+
+/// Compresses a text with Zstandard.
+std::string packText(std::string_view text);
+
+/// @return nothing when `packed` is damaged or states a size above `maxBytes`
+std::optional<std::string> unpackText(std::string_view packed, std::size_t maxBytes);
+
+} // namespace fulmarledge
--- a/src/adapters/peersocket.cpp
+++ b/src/adapters/peersocket.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include "fulmarledge/config.h"
+#include "packedtext.h"
 #include "wirecodec.h"
 
 namespace fulmarledge {
@@ -83,10 +84,14 @@
 
 void PeerSocket::send(const SocketAddress &to, const wire::Envelope &message)
 {
-    const std::string payload = encodeMessage(message);
+    std::string payload = encodeMessage(message);
+    const bool frame = payload.size() > FULMARLEDGE_CONFIG_MAX_DATAGRAM_BYTES;
+    if (frame) {
+        payload = packText(payload);
+    }
     m_metrics.count("control-bytes-out", messageName(message), static_cast<double>(payload.size()));
     m_metrics.count("control-messages-out", messageName(message), 1);
-    if (payload.size() > FULMARLEDGE_CONFIG_MAX_DATAGRAM_BYTES) {
+    if (frame) {
         sendFrame(to, payload);
         return;
     }
@@ -154,11 +159,22 @@
         auto stream = std::make_unique<FrameStream>(m_loop, std::move(*socket), FULMARLEDGE_CONFIG_MAX_FRAME_BYTES);
         FrameStream &started = *stream;
         m_incoming.emplace(id, std::move(stream));
-        started.start([this](std::span<const std::uint8_t> frame) { receive(frame); },
+        started.start([this](std::span<const std::uint8_t> frame) { receiveFrame(frame); },
                       [this, id] { m_incoming.erase(id); });
     }
 }
 
+void PeerSocket::receiveFrame(std::span<const std::uint8_t> frame)
+{
+    const std::string_view packed(reinterpret_cast<const char *>(frame.data()), frame.size());
+    const std::optional<std::string> payload = unpackText(packed, FULMARLEDGE_CONFIG_MAX_FRAME_BYTES);
+    if (!payload) {
+        m_metrics.count("control-messages-malformed", "", 1);
+        return;
+    }
+    receive(std::span(reinterpret_cast<const std::uint8_t *>(payload->data()), payload->size()));
+}
+
 void PeerSocket::receive(std::span<const std::uint8_t> data)
 {
     LastReason error;
--- a/src/adapters/peersocket.h
+++ b/src/adapters/peersocket.h
@@ -12,7 +12,7 @@
 
 namespace fulmarledge {
 
-/// Control messages over UDP, and over TCP when they do not fit one datagram. Belongs to the loop's thread.
+/// Control messages over UDP, and compressed over TCP when they do not fit one datagram. Belongs to the loop's thread.
 class PeerSocket : public PeerTransport
 {
 public:
@@ -33,6 +33,7 @@
 
     void onDatagram();
     void onAccept();
+    void receiveFrame(std::span<const std::uint8_t> frame);
     void receive(std::span<const std::uint8_t> data);
     void sendFrame(const SocketAddress &to, std::string_view payload);
     void dropOutgoing(const SocketAddress &to);
--- /dev/null
+++ b/tests/adapter_packedtext.cpp
@@ -0,0 +1,24 @@
+#include <catch2/catch.hpp>
+
+#include "packedtext.h"
+
+using namespace fulmarledge;
+
+// Guards against a damaged frame of a peer that is read as a message, or that makes the node take any size of memory.
+TEST_CASE("packed texts come back whole, damaged and oversized ones are refused")
+{
+    std::string text;
+    for (int i = 0; i < 2000; ++i) {
+        text += R"({"host":"ikeja-bookings-)" + std::to_string(i) + R"(","service":"bookings"})";
+    }
+    const std::string packed = packText(text);
+    CHECK(packed.size() * 5 < text.size());
+    CHECK(unpackText(packed, text.size()) == text);
+    CHECK_FALSE(unpackText(packed, text.size() - 1));
+    CHECK_FALSE(unpackText("", text.size()));
+    CHECK_FALSE(unpackText(text, text.size()));
+    for (std::size_t size = 0; size < packed.size(); size += 97) {
+        CHECK_FALSE(unpackText(std::string_view(packed).substr(0, size), text.size()));
+    }
+    CHECK(unpackText(packText(""), 0) == "");
+}
