--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -3539,6 +3539,11 @@
   this->spillLeftMs = val;
 __isset.spillLeftMs = true;
 }
+
+void HopRequest::__set_fromOtherZone(const bool val) {
+  this->fromOtherZone = val;
+__isset.fromOtherZone = true;
+}
 std::ostream& operator<<(std::ostream& out, const HopRequest& obj)
 {
   obj.printTo(out);
@@ -3723,6 +3728,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->fromOtherZone);
+          this->__isset.fromOtherZone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3826,6 +3839,11 @@
     xfer += oprot->writeI32(this->spillLeftMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.fromOtherZone) {
+    xfer += oprot->writeFieldBegin("fromOtherZone", ::apache::thrift::protocol::T_BOOL, 19);
+    xfer += oprot->writeBool(this->fromOtherZone);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3851,6 +3869,7 @@
   swap(a.objectiveMs, b.objectiveMs);
   swap(a.objectiveLeftMs, b.objectiveLeftMs);
   swap(a.spillLeftMs, b.spillLeftMs);
+  swap(a.fromOtherZone, b.fromOtherZone);
   swap(a.__isset, b.__isset);
 }
 
@@ -3873,6 +3892,7 @@
   objectiveMs = other138.objectiveMs;
   objectiveLeftMs = other138.objectiveLeftMs;
   spillLeftMs = other138.spillLeftMs;
+  fromOtherZone = other138.fromOtherZone;
   __isset = other138.__isset;
 }
 HopRequest::HopRequest(HopRequest&& other139) noexcept {
@@ -3894,6 +3914,7 @@
   objectiveMs = other139.objectiveMs;
   objectiveLeftMs = other139.objectiveLeftMs;
   spillLeftMs = other139.spillLeftMs;
+  fromOtherZone = other139.fromOtherZone;
   __isset = other139.__isset;
 }
 HopRequest& HopRequest::operator=(const HopRequest& other140) {
@@ -3915,6 +3936,7 @@
   objectiveMs = other140.objectiveMs;
   objectiveLeftMs = other140.objectiveLeftMs;
   spillLeftMs = other140.spillLeftMs;
+  fromOtherZone = other140.fromOtherZone;
   __isset = other140.__isset;
   return *this;
 }
@@ -3937,6 +3959,7 @@
   objectiveMs = other141.objectiveMs;
   objectiveLeftMs = other141.objectiveLeftMs;
   spillLeftMs = other141.spillLeftMs;
+  fromOtherZone = other141.fromOtherZone;
   __isset = other141.__isset;
   return *this;
 }
@@ -3961,6 +3984,7 @@
   out << ", " << "objectiveMs="; (__isset.objectiveMs ? (out << to_string(objectiveMs)) : (out << "<null>"));
   out << ", " << "objectiveLeftMs="; (__isset.objectiveLeftMs ? (out << to_string(objectiveLeftMs)) : (out << "<null>"));
   out << ", " << "spillLeftMs="; (__isset.spillLeftMs ? (out << to_string(spillLeftMs)) : (out << "<null>"));
+  out << ", " << "fromOtherZone="; (__isset.fromOtherZone ? (out << to_string(fromOtherZone)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -1372,7 +1372,7 @@
 std::ostream& operator<<(std::ostream& out, const HttpField& obj);
 
 typedef struct _HopRequest__isset {
-  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false), hostName(false), rank(false), kind(false), objectiveMs(false), objectiveLeftMs(false), spillLeftMs(false) {}
+  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false), hostName(false), rank(false), kind(false), objectiveMs(false), objectiveLeftMs(false), spillLeftMs(false), fromOtherZone(false) {}
   bool id :1;
   bool serviceName :1;
   bool method :1;
@@ -1391,6 +1391,7 @@
   bool objectiveMs :1;
   bool objectiveLeftMs :1;
   bool spillLeftMs :1;
+  bool fromOtherZone :1;
 } _HopRequest__isset;
 
 class HopRequest : public virtual ::apache::thrift::TBase {
@@ -1417,7 +1418,8 @@
                kind(0),
                objectiveMs(0),
                objectiveLeftMs(0),
-               spillLeftMs(0) {
+               spillLeftMs(0),
+               fromOtherZone(0) {
   }
 
   virtual ~HopRequest() noexcept;
@@ -1439,6 +1441,7 @@
   int32_t objectiveMs;
   int32_t objectiveLeftMs;
   int32_t spillLeftMs;
+  bool fromOtherZone;
 
   _HopRequest__isset __isset;
 
@@ -1478,6 +1481,8 @@
 
   void __set_spillLeftMs(const int32_t val);
 
+  void __set_fromOtherZone(const bool val);
+
   bool operator == (const HopRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -1528,6 +1533,10 @@
       return false;
     else if (__isset.spillLeftMs && !(spillLeftMs == rhs.spillLeftMs))
       return false;
+    if (__isset.fromOtherZone != rhs.__isset.fromOtherZone)
+      return false;
+    else if (__isset.fromOtherZone && !(fromOtherZone == rhs.fromOtherZone))
+      return false;
     return true;
   }
   bool operator != (const HopRequest &rhs) const {
--- a/include/fulmarledge/kindmeans.h
+++ b/include/fulmarledge/kindmeans.h
@@ -6,14 +6,14 @@
 
 namespace fulmarledge {
 
-/// Mean service times in ms by kind of work, for a bounded number of kinds.
-class ServiceTimes
+/// Means of a measure by kind of work, such as the service time in ms, for a bounded number of kinds.
+class KindMeans
 {
 public:
     /// Mean of the kind, or 0 before its first sample.
     double mean(std::uint64_t kind) const;
-    /// @param whole false when the work was cut, so that its time is only a lower bound
-    void add(std::uint64_t kind, double elapsedMs, bool whole, double weight);
+    /// @param whole false when the work was cut, so that its sample is only a lower bound
+    void add(std::uint64_t kind, double sample, bool whole, double weight);
     void clear();
 
 private:
@@ -21,13 +21,13 @@
     /// each other.
     static constexpr std::size_t kKinds = 32;
 
-    struct Sample {
+    struct Entry {
         std::uint64_t kind = 0;
-        double meanMs = 0;
+        double mean = 0;
         std::uint64_t usedAt = 0;
     };
 
-    std::array<Sample, kKinds> m_samples{};
+    std::array<Entry, kKinds> m_entries{};
     std::uint64_t m_uses = 0;
 };
 
--- a/include/fulmarledge/slotguard.h
+++ b/include/fulmarledge/slotguard.h
@@ -9,7 +9,8 @@
 #include <vector>
 
 #include "fulmarledge/manifest.h"
-#include "fulmarledge/servicetimes.h"
+#include "fulmarledge/kindmeans.h"
+#include "fulmarledge/linkpacer.h"
 #include "fulmarledge/types.h"
 #include "fulmarledge/verdict.h"
 
@@ -33,7 +34,12 @@
     /// Multiple of the mean service time that must fit into the objective after the wait. Service times scatter, and
     /// without a margin half of the requests at the bound would be late.
     double serviceMargin = 1.5;
-    double serviceTimeWeight = 0.1; ///< weight of a new sample in the mean service time
+    double serviceTimeWeight = 0.1; ///< weight of a new sample in the mean service time and the mean size
+    double answerBytesPerMs = 0; ///< rate at which large answers leave the host; 0: taken for unlimited
+    /// Part of the objective within which a large answer for another data centre has to leave. The rest of the queue is
+    /// kept for callers of the own one, whose answers do not use the links between data centres.
+    double otherZoneShare = 0.5;
+    std::shared_ptr<const LinkGauge> link; ///< large answers that wait to leave; null for none
 };
 
 struct GuardRequest {
@@ -46,6 +52,8 @@
     TimeMs objectiveMs = 0; ///< latency objective of the kind; 0 for none
     TimeMs objective = 0; ///< when this request misses it, for a request that has one
     TimeMs spillBy = 0; ///< refused if it has to wait and cannot be expected to finish by this time; 0 for none
+    bool usesLink = false; ///< the answer is large and leaves the host
+    bool fromOtherZone = false;
 };
 
 /// Rank of a class's requests where the manifest gives none.
@@ -90,8 +98,9 @@
 
     /// Frees the slot of a running request.
     /// @param answered false when the request was cut, so that its time is only a lower bound of the service time
+    /// @param answerBytes size of the answer
     /// @return false when the id is not running
-    bool finish(GuardEntryId id, bool answered, TimeMs now);
+    bool finish(GuardEntryId id, bool answered, TimeMs now, std::size_t answerBytes = 0);
 
     GuardCancel cancel(GuardEntryId id);
 
@@ -147,6 +156,7 @@
         std::uint64_t kind = 0;
         TimeMs objectiveMs = 0;
         TimeMs objective = 0;
+        bool usesLink = false;
         GuardState state = GuardState::Wait;
         Reason refusal = Reason::None; ///< for entries that `next` still has to report as refused
     };
@@ -176,7 +186,12 @@
     }
     double runningMeanMs() const;
     double expectedWaitMs(const Entry &entry, TimeMs now) const;
-    TimeMs backlogMs() const;
+    /// Time on the link of an answer of the mean size; 0 when that is not known.
+    double transferMs(const Entry &entry) const;
+    /// Time until the link has sent the large answers of all admitted work.
+    double linkBacklogMs() const;
+    bool fitsLink(const Entry &entry, double byMs) const;
+    TimeMs backlogMs(const Entry &entry) const;
     Reason check(const GuardRequest &request, const Entry &entry, TimeMs now) const;
     Entry *bestWaiting(TimeMs now);
     Entry *mustRefuse(TimeMs now);
@@ -195,7 +210,8 @@
     bool m_draining = false;
     TimeMs m_bulkLimitedUntil = 0;
     std::uint64_t m_lastId = 0;
-    ServiceTimes m_serviceTimes; ///< by kind of work, or by rank without one
+    KindMeans m_serviceTimes; ///< in ms, by kind of work, or by rank without one
+    KindMeans m_answerBytes; ///< of answers that use the link, by kind of work
     std::vector<Entry> m_entries; ///< at most slots + queue
     std::vector<Caller> m_callers; ///< callers with work in the guard, places reused: no more than entries at once
     std::shared_ptr<SlotGauge> m_gauge;
--- a/include/fulmarledge/verdict.h
+++ b/include/fulmarledge/verdict.h
@@ -42,6 +42,7 @@
     ForeignAnswer, ///< the bytes received are not the backend server's answer to this request
     WrongInstance, ///< another backend server has the address
     ZoneBusy, ///< would wait beside the caller while other data centres may have room
+    LinkBusy, ///< the host's link cannot send a large answer in time
     Count
 };
 
--- a/src/adapters/backendcalls.cpp
+++ b/src/adapters/backendcalls.cpp
@@ -68,17 +68,17 @@
     m_loop.cancel(m_wakeup);
 }
 
-std::uint64_t BackendCalls::execute(wire::HopRequest request, TimeMs deadline, Done done)
+std::uint64_t BackendCalls::execute(wire::HopRequest request, bool remote, TimeMs deadline, Done done)
 {
     const std::uint64_t id = m_nextId++;
-    Admission admission
-        = m_backend.admit(request, deadline, monotonicMs(), [this, id, alive = m_alive](const GuardDecision &decision) {
-              m_loop.post([this, id, alive, decision] {
-                  if (*alive) {
-                      resume(id, decision);
-                  }
-              });
-          });
+    const auto onDecision = [this, id, alive = m_alive](const GuardDecision &decision) {
+        m_loop.post([this, id, alive, decision] {
+            if (*alive) {
+                resume(id, decision);
+            }
+        });
+    };
+    Admission admission = m_backend.admit(request, remote, deadline, monotonicMs(), onDecision);
     Job &job = m_jobs[id];
     job.request = std::move(request);
     job.deadline = deadline;
--- a/src/adapters/backendcalls_p.h
+++ b/src/adapters/backendcalls_p.h
@@ -26,7 +26,8 @@
     BackendCalls &operator=(const BackendCalls &) = delete;
 
     /// `done` runs once, after this call has returned, unless the request is cancelled.
-    std::uint64_t execute(wire::HopRequest request, TimeMs deadline, Done done);
+    /// @param remote the request came from another node
+    std::uint64_t execute(wire::HopRequest request, bool remote, TimeMs deadline, Done done);
     void cancel(std::uint64_t id);
 
 private:
--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -26,6 +26,14 @@
     return outcome.fromPeer ? std::move(outcome.response) : refusal(outcome.verdict, outcome.reason, 0);
 }
 
+GuardConfig guardConfig(const RequestPathSettings &settings)
+{
+    GuardConfig config;
+    config.answerBytesPerMs = settings.hopConfig.answerBytesPerMs * settings.dataThreads;
+    config.link = settings.hopConfig.gauge;
+    return config;
+}
+
 /// Whether an attempt got as far as a backend server, or may have.
 bool reachedBackend(const wire::HopResponse &response)
 {
@@ -41,7 +49,7 @@
 PathState::PathState(const RequestPathSettings &pathSettings, Metrics &pathMetrics)
     : settings(pathSettings)
     , metrics(pathMetrics)
-    , backend(monotonicMs())
+    , backend(monotonicMs(), guardConfig(pathSettings))
     , views(pathSettings.host, pathSettings.zone, backend.gauge(), pathSettings.balancer, pathSettings.retry,
             pathSettings.retryAllowance)
 {
@@ -229,6 +237,10 @@
     request.caller = fields.caller;
     request.bulk = work.bulk;
     request.version = work.version;
+    const wire::HostRecord &target = *work.session->view()->backend(action.backend).record;
+    if (target.zone != m_state.settings.zone) {
+        request.__set_fromOtherZone(true);
+    }
     if (!fields.hostName.empty()) {
         request.__set_hostName(fields.hostName);
     }
@@ -257,7 +269,7 @@
     const AttemptId attempt = action.attempt;
     work.lastHost = work.session->view()->backend(action.backend).host;
     if (action.ownHost) {
-        work.localCall = m_calls.execute(hopRequest(work, action), action.until,
+        work.localCall = m_calls.execute(hopRequest(work, action), false, action.until,
                                          [this, id, attempt](wire::HopResponse &&response) {
                                              attemptFinished(id, attempt, std::move(response), true);
                                          });
@@ -398,11 +410,12 @@
 {
     const TimeMs now = monotonicMs();
     const TimeMs deadline = now + std::max<std::int32_t>(request.deadlineMs, 1);
-    m_hopCalls[call] = m_calls.execute(std::move(request), deadline, [this, call, now](wire::HopResponse &&response) {
+    const auto reply = [this, call, now](wire::HopResponse &&response) {
         m_state.metrics.observeLeg(RequestLeg::Guard, monotonicMs() - now);
         m_hopCalls.erase(call);
         m_hopServer.reply(call, std::move(response));
-    });
+    };
+    m_hopCalls[call] = m_calls.execute(std::move(request), true, deadline, reply);
 }
 
 void DataWorker::onHopCancel(HopCallId call)
--- a/src/adapters/hop.cpp
+++ b/src/adapters/hop.cpp
@@ -1,5 +1,6 @@
 #include "hop.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <netinet/in.h>
@@ -197,16 +198,70 @@
     : m_loop(loop)
     , m_config(config)
     , m_handlers(std::move(handlers))
+    , m_pacer(config.answerBytesPerMs)
 {
 }
 
+HopServer::~HopServer()
+{
+    closeAll();
+    m_loop.cancel(m_writeTimer);
+}
+
+void HopServer::wantsToWrite(HopLink &link)
+{
+    if (std::find(m_writers.begin(), m_writers.end(), &link) == m_writers.end()) {
+        m_writers.push_back(&link);
+    }
+    writeLargeFrames();
+}
+
+void HopServer::wroteSmall(std::size_t bytes)
+{
+    m_pacer.sent(bytes, monotonicMs());
+}
+
+void HopServer::waitingChanged(std::ptrdiff_t bytes)
+{
+    m_config.gauge->waitingBytes.fetch_add(bytes, std::memory_order_relaxed);
+}
+
+void HopServer::writeLargeFrames()
+{
+    while (!m_writers.empty()) {
+        const TimeMs now = monotonicMs();
+        const std::size_t allowed = m_pacer.allowed(now);
+        if (allowed == 0) {
+            m_loop.cancel(m_writeTimer);
+            m_writeTimer = m_loop.runAfter(m_pacer.waitMs(now), [this] {
+                m_writeTimer = {};
+                writeLargeFrames();
+            });
+            return;
+        }
+        HopLink &link = *m_writers.front();
+        const std::size_t sent = link.writeLarge(allowed);
+        m_pacer.sent(sent, now);
+        // Whole frames in turn: half of each of two answers is of no use to anyone.
+        const bool waits = link.isBlocked() || !link.hasLarge();
+        if (waits || sent == 0 || !link.isAmidLarge()) {
+            m_writers.pop_front();
+            if (!waits && sent > 0) {
+                m_writers.push_back(&link);
+            }
+        }
+    }
+}
+
 void HopServer::accept(int fd)
 {
     const std::uint64_t id = m_nextLink++;
+    LargeFrameGate *gate = m_pacer.isActive() ? this : nullptr;
     m_links[id].link = std::make_unique<HopLink>(
         m_loop, fd, false, m_config,
         HopLink::Handlers{[this, id](wire::HopFrame &&frame) { onFrame(id, std::move(frame)); },
-                          [this, id] { onClosed(id); }});
+                          [this, id] { onClosed(id); }},
+        gate);
 }
 
 void HopServer::onFrame(std::uint64_t link, wire::HopFrame &&frame)
@@ -217,8 +272,12 @@
         if (from.calls.emplace(frame.request.id, true).second) {
             m_handlers.onRequest({link, frame.request.id}, std::move(frame.request));
         }
-    } else if (frame.__isset.cancel && from.calls.erase(frame.cancel.id) > 0) {
-        m_handlers.onCancel({link, frame.cancel.id});
+    } else if (frame.__isset.cancel) {
+        if (from.calls.erase(frame.cancel.id) > 0) {
+            m_handlers.onCancel({link, frame.cancel.id});
+        } else {
+            from.link->dropLarge(frame.cancel.id);
+        }
     }
 }
 
@@ -227,6 +286,7 @@
     const auto found = m_links.find(link);
     const Link closed = std::move(found->second);
     m_links.erase(found);
+    std::erase(m_writers, closed.link.get());
     for (const auto &[id, open] : closed.calls) {
         m_handlers.onCancel({link, id});
     }
@@ -254,6 +314,7 @@
 
 void HopServer::closeAll()
 {
+    m_writers.clear();
     m_links.clear();
 }
 
--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -8,6 +9,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "fulmarledge/linkpacer.h"
 #include "fulmarledge/types.h"
 #include "fulmarledge/verdict.h"
 #include "fulmarledge_types.h"
@@ -22,6 +24,23 @@
     std::int64_t idleMs = 60000; ///< a connection without requests for this time is closed
     std::size_t maxFrameBytes = 72 * 1024 * 1024; ///< one answer of at most 64 MB and its fields
     std::size_t maxOutstandingBytes = 128 * 1024 * 1024; ///< per connection, waiting to be written
+    double answerBytesPerMs = 0; ///< rate at which large answers leave through one server; 0: not paced
+    std::shared_ptr<LinkGauge> gauge = std::make_shared<LinkGauge>(); ///< counts what waits in all servers
+};
+
+class HopLink;
+
+/// Decides when a connection may write its large frames.
+class LargeFrameGate
+{
+public:
+    virtual ~LargeFrameGate() = default;
+    /// The link has a large frame to write, and is able to.
+    virtual void wantsToWrite(HopLink &link) = 0;
+    /// The link wrote bytes of small frames.
+    virtual void wroteSmall(std::size_t bytes) = 0;
+    /// Bytes of large frames that wait in the link were added, or were written or dropped.
+    virtual void waitingChanged(std::ptrdiff_t bytes) = 0;
 };
 
 /// One TCP connection that carries length-prefixed `HopFrame` messages. Belongs to the loop's thread. Destroying it
@@ -35,7 +54,9 @@
     };
 
     /// @param fd connected socket, or one whose connection is in progress if `connecting`
-    HopLink(IoLoop &loop, int fd, bool connecting, const HopConfig &config, Handlers handlers);
+    /// @param gate asked before each write of a large frame; null: all frames are written in the order of `send`
+    HopLink(IoLoop &loop, int fd, bool connecting, const HopConfig &config, Handlers handlers,
+            LargeFrameGate *gate = nullptr);
     ~HopLink();
     HopLink(const HopLink &) = delete;
     HopLink &operator=(const HopLink &) = delete;
@@ -43,6 +64,25 @@
     /// Queues a frame.
     /// @return position in the stream after the frame, or 0 when the frame or the queue would be too large
     std::uint64_t send(const wire::HopFrame &frame);
+    /// Writes the current large frame, or begins the next one.
+    /// @return bytes written
+    std::size_t writeLarge(std::size_t maxBytes);
+    bool hasLarge() const
+    {
+        return !m_large.empty();
+    }
+    /// Part of a large frame is written.
+    bool isAmidLarge() const
+    {
+        return m_largeStart > 0;
+    }
+    /// The kernel takes no more at present. The link reports to the gate when it does.
+    bool isBlocked() const
+    {
+        return m_wantWrite;
+    }
+    /// Forgets the answer to a request if none of it was written.
+    void dropLarge(std::int64_t id);
     /// Bytes handed to the kernel. A frame that ends above this position cannot have been read by the peer.
     std::uint64_t written() const
     {
@@ -50,12 +90,18 @@
     }
 
 private:
+    struct LargeFrame {
+        std::int64_t id = 0; ///< of the request that it answers
+        std::string bytes;
+    };
+
     void onEvents(std::uint32_t events);
+    std::size_t write(std::string_view bytes);
     bool readAvailable();
     bool parseFrames();
     void flush();
     void onBeat();
-    void watch();
+    void watch(bool wantWrite);
     void fail();
 
     IoLoop &m_loop;
@@ -73,6 +119,10 @@
     std::string m_in;
     std::string m_out;
     std::size_t m_outStart = 0;
+    LargeFrameGate *m_gate;
+    std::deque<LargeFrame> m_large;
+    std::size_t m_largeStart = 0; ///< bytes of the first large frame that were written
+    std::size_t m_largeBytes = 0; ///< of all large frames, not yet written
     std::uint64_t m_queued = 0;
     std::uint64_t m_written = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
@@ -142,8 +192,9 @@
     }
 };
 
-/// Connections accepted from other nodes by one thread. Belongs to the loop's thread.
-class HopServer
+/// Connections accepted from other nodes by one thread. Large answers leave at the rate of the host's link, one after
+/// the other in the order in which they became ready. Belongs to the loop's thread.
+class HopServer : private LargeFrameGate
 {
 public:
     struct Handlers {
@@ -153,6 +204,9 @@
     };
 
     HopServer(IoLoop &loop, const HopConfig &config, Handlers handlers);
+    ~HopServer() override;
+    HopServer(const HopServer &) = delete;
+    HopServer &operator=(const HopServer &) = delete;
 
     /// Takes over a connected socket.
     void accept(int fd);
@@ -168,12 +222,19 @@
 
     void onFrame(std::uint64_t link, wire::HopFrame &&frame);
     void onClosed(std::uint64_t link);
+    void wantsToWrite(HopLink &link) override;
+    void wroteSmall(std::size_t bytes) override;
+    void waitingChanged(std::ptrdiff_t bytes) override;
+    void writeLargeFrames();
 
     IoLoop &m_loop;
     HopConfig m_config;
     Handlers m_handlers;
     std::uint64_t m_nextLink = 1;
     std::unordered_map<std::uint64_t, Link> m_links;
+    LinkPacer m_pacer;
+    std::deque<HopLink *> m_writers; ///< links that want to write large frames, next first
+    TimerId m_writeTimer;
 };
 
 /// Listens on an address and hands over each accepted socket, with TCP_NODELAY set. Belongs to the loop's thread.
--- a/src/adapters/hoplink.cpp
+++ b/src/adapters/hoplink.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -24,6 +25,8 @@
 constexpr std::size_t kReadBytes = 64 * 1024;
 /// Bytes read in one turn of the event loop, so that one connection does not hold up the others of its thread.
 constexpr std::size_t kReadPerTurn = 1024 * 1024;
+/// A frame from this size on is large. Smaller ones hold others up for less than the burst of a paced link.
+constexpr std::size_t kLargeFrameBytes = 16 * 1024;
 
 void appendFrame(std::string &out, const wire::HopFrame &frame)
 {
@@ -65,7 +68,8 @@
 
 } // namespace
 
-HopLink::HopLink(IoLoop &loop, int fd, bool connecting, const HopConfig &config, Handlers handlers)
+HopLink::HopLink(IoLoop &loop, int fd, bool connecting, const HopConfig &config, Handlers handlers,
+                 LargeFrameGate *gate)
     : m_loop(loop)
     , m_fd(fd)
     , m_connecting(connecting)
@@ -74,6 +78,7 @@
     , m_handlers(std::move(handlers))
     , m_opened(monotonicMs())
     , m_lastRead(m_opened)
+    , m_gate(gate)
 {
     m_loop.addFd(m_fd, EPOLLIN | (connecting ? EPOLLOUT : 0U), [this](std::uint32_t events) { onEvents(events); });
     m_beatTimer = m_loop.runAfter(m_config.beatMs, [this] { onBeat(); });
@@ -81,6 +86,9 @@
 
 HopLink::~HopLink()
 {
+    if (m_gate != nullptr) {
+        m_gate->waitingChanged(-static_cast<std::ptrdiff_t>(m_largeBytes));
+    }
     *m_alive = false;
     m_loop.cancel(m_beatTimer);
     m_loop.cancel(m_failTimer);
@@ -96,41 +104,96 @@
     const std::size_t before = m_out.size();
     appendFrame(m_out, frame);
     const std::size_t added = m_out.size() - before;
-    if (added > m_config.maxFrameBytes || m_out.size() - m_outStart > m_config.maxOutstandingBytes) {
+    const std::size_t waiting = m_out.size() - m_outStart + m_largeBytes;
+    if (added > m_config.maxFrameBytes || waiting > m_config.maxOutstandingBytes) {
         m_out.resize(before);
         return 0;
     }
     m_queued += added;
-    flush();
+    if (m_gate != nullptr && added >= kLargeFrameBytes) {
+        m_large.push_back({frame.response.id, m_out.substr(before)});
+        m_largeBytes += added;
+        m_gate->waitingChanged(static_cast<std::ptrdiff_t>(added));
+        m_out.resize(before);
+        m_gate->wantsToWrite(*this);
+    } else {
+        flush();
+    }
     return m_queued;
 }
 
-void HopLink::flush()
+std::size_t HopLink::write(std::string_view bytes)
 {
-    if (m_connecting || m_failed) {
-        return;
-    }
-    while (m_outStart < m_out.size()) {
-        const ssize_t sent = ::send(m_fd, m_out.data() + m_outStart, m_out.size() - m_outStart, MSG_NOSIGNAL);
+    std::size_t total = 0;
+    while (total < bytes.size()) {
+        const ssize_t sent = ::send(m_fd, bytes.data() + total, bytes.size() - total, MSG_NOSIGNAL);
         if (sent < 0) {
             if (errno != EAGAIN && errno != EINTR) {
                 fail();
             }
             break;
         }
-        m_outStart += static_cast<std::size_t>(sent);
-        m_written += static_cast<std::uint64_t>(sent);
+        total += static_cast<std::size_t>(sent);
+    }
+    m_written += total;
+    return total;
+}
+
+void HopLink::flush()
+{
+    // A frame cannot begin before the large one on the same connection has ended.
+    if (m_connecting || m_failed || isAmidLarge()) {
+        return;
+    }
+    if (m_outStart < m_out.size()) {
+        const std::size_t sent = write(std::string_view(m_out).substr(m_outStart));
+        m_outStart += sent;
+        if (m_gate != nullptr) {
+            m_gate->wroteSmall(sent);
+        }
     }
     if (m_outStart == m_out.size()) {
         m_out.clear();
         m_outStart = 0;
     }
-    watch();
+    watch(m_outStart < m_out.size());
+}
+
+std::size_t HopLink::writeLarge(std::size_t maxBytes)
+{
+    flush();
+    if (m_connecting || m_failed || isBlocked() || m_large.empty()) {
+        return 0;
+    }
+    const std::string_view rest = std::string_view(m_large.front().bytes).substr(m_largeStart);
+    const std::size_t allowed = std::min(rest.size(), maxBytes);
+    const std::size_t sent = write(rest.substr(0, allowed));
+    m_largeStart += sent;
+    m_largeBytes -= sent;
+    m_gate->waitingChanged(-static_cast<std::ptrdiff_t>(sent));
+    if (sent == rest.size()) {
+        m_large.pop_front();
+        m_largeStart = 0;
+        flush();
+    } else {
+        watch(sent < allowed);
+    }
+    return sent;
 }
 
-void HopLink::watch()
+void HopLink::dropLarge(std::int64_t id)
+{
+    const auto found
+        = std::find_if(m_large.begin(), m_large.end(), [id](const LargeFrame &frame) { return frame.id == id; });
+    if (found != m_large.end() && (found != m_large.begin() || !isAmidLarge())) {
+        m_largeBytes -= found->bytes.size();
+        m_gate->waitingChanged(-static_cast<std::ptrdiff_t>(found->bytes.size()));
+        m_large.erase(found);
+    }
+}
+
+void HopLink::watch(bool wantWrite)
 {
-    const bool wantWrite = m_connecting || m_outStart < m_out.size();
     if (wantWrite != m_wantWrite && !m_failed) {
         m_wantWrite = wantWrite;
         m_loop.modifyFd(m_fd, EPOLLIN | (wantWrite ? EPOLLOUT : 0U));
@@ -178,7 +241,14 @@
         fail();
         return;
     }
+    const bool wasBlocked = m_wantWrite;
     flush();
+    if (isAmidLarge() && (events & EPOLLOUT) != 0U) {
+        watch(false);
+    }
+    if (m_gate != nullptr && hasLarge() && wasBlocked && !isBlocked()) {
+        m_gate->wantsToWrite(*this);
+    }
 }
 
 bool HopLink::readAvailable()
@@ -246,7 +316,7 @@
         return;
     }
     m_beatTimer = m_loop.runAfter(m_config.beatMs, [this] { onBeat(); });
-    if (!m_connecting && m_outStart == m_out.size()) {
+    if (!m_connecting && m_outStart == m_out.size() && !isAmidLarge()) {
         wire::HopFrame frame;
         wire::HopBeat beat;
         beat.__set_sequence(++m_beats);
--- a/src/adapters/localbackend.cpp
+++ b/src/adapters/localbackend.cpp
@@ -31,8 +31,9 @@
     return response;
 }
 
-LocalBackend::LocalBackend(TimeMs now)
-    : m_gauge(m_guard.gauge())
+LocalBackend::LocalBackend(TimeMs now, const GuardConfig &guard)
+    : m_guard(guard)
+    , m_gauge(m_guard.gauge())
     , m_keys(now)
 {
 }
@@ -121,7 +122,8 @@
     return admission;
 }
 
-Admission LocalBackend::admit(const wire::HopRequest &request, TimeMs deadline, TimeMs now, Resume resume)
+Admission LocalBackend::admit(const wire::HopRequest &request, bool remote, TimeMs deadline, TimeMs now,
+                              Resume resume)
 {
     Lock lock(m_mutex);
     Admission admission;
@@ -134,6 +136,8 @@
     guarded.caller = request.caller;
     guarded.serviceClass = request.bulk && !request.__isset.rank ? ServiceClass::Bulk : ServiceClass::Interactive;
     guarded.deadline = deadline;
+    guarded.usesLink = remote && request.bulk;
+    guarded.fromOtherZone = request.__isset.fromOtherZone && request.fromOtherZone;
     if (request.__isset.rank) {
         guarded.rank = static_cast<std::uint32_t>(std::max(request.rank, 0));
     }
@@ -180,7 +184,7 @@
     }
     Lock lock(m_mutex);
     finishKey(key, response, now);
-    m_guard.finish(entry, response.verdict == wire::Verdict::Answered, now);
+    m_guard.finish(entry, response.verdict == wire::Verdict::Answered, now, response.body.size());
     settle(lock, now);
 }
 
--- a/src/adapters/localbackend_p.h
+++ b/src/adapters/localbackend_p.h
@@ -35,7 +35,7 @@
     /// Tells a waiting request that it may run or is refused. Called on any thread, under no lock.
     using Resume = std::function<void(const GuardDecision &)>;
 
-    explicit LocalBackend(TimeMs now);
+    LocalBackend(TimeMs now, const GuardConfig &guard);
 
     void set(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
              wire::HostState::type state, TimeMs now, const std::string &instance = {});
@@ -43,7 +43,8 @@
     void setOwners(const Snapshot &snapshot, TimeMs now);
     void drain(std::function<void()> idle, TimeMs now);
 
-    Admission admit(const wire::HopRequest &request, TimeMs deadline, TimeMs now, Resume resume);
+    /// @param remote the request came from another node
+    Admission admit(const wire::HopRequest &request, bool remote, TimeMs deadline, TimeMs now, Resume resume);
     /// Ends a request that was running.
     void finish(GuardEntryId entry, KeyEntryId key, const wire::HopResponse &response, TimeMs now);
     /// Ends a request that was refused while it waited.
--- a/src/core/kindmeans.cpp
+++ b/src/core/kindmeans.cpp
@@ -1,37 +1,37 @@
-#include "fulmarledge/servicetimes.h"
+#include "fulmarledge/kindmeans.h"
 
 #include <algorithm>
 
 namespace fulmarledge {
 
-double ServiceTimes::mean(std::uint64_t kind) const
+double KindMeans::mean(std::uint64_t kind) const
 {
-    for (const Sample &sample : m_samples) {
-        if (sample.usedAt > 0 && sample.kind == kind) {
-            return sample.meanMs;
+    for (const Entry &entry : m_entries) {
+        if (entry.usedAt > 0 && entry.kind == kind) {
+            return entry.mean;
         }
     }
     return 0;
 }
 
-void ServiceTimes::add(std::uint64_t kind, double elapsedMs, bool whole, double weight)
+void KindMeans::add(std::uint64_t kind, double sample, bool whole, double weight)
 {
-    auto known = std::find_if(m_samples.begin(), m_samples.end(),
-                              [kind](const Sample &sample) { return sample.usedAt > 0 && sample.kind == kind; });
-    if (known == m_samples.end()) {
-        known = std::min_element(m_samples.begin(), m_samples.end(),
-                                 [](const Sample &a, const Sample &b) { return a.usedAt < b.usedAt; });
-        *known = {kind, elapsedMs, 0};
-    } else if (whole || elapsedMs > known->meanMs) {
+    auto known = std::find_if(m_entries.begin(), m_entries.end(),
+                              [kind](const Entry &entry) { return entry.usedAt > 0 && entry.kind == kind; });
+    if (known == m_entries.end()) {
+        known = std::min_element(m_entries.begin(), m_entries.end(),
+                                 [](const Entry &a, const Entry &b) { return a.usedAt < b.usedAt; });
+        *known = {kind, sample, 0};
+    } else if (whole || sample > known->mean) {
         // The time of a request that was cut only says that the service takes at least as long.
-        known->meanMs += (elapsedMs - known->meanMs) * weight;
+        known->mean += (sample - known->mean) * weight;
     }
     known->usedAt = ++m_uses;
 }
 
-void ServiceTimes::clear()
+void KindMeans::clear()
 {
-    m_samples = {};
+    m_entries = {};
 }
 
 } // namespace fulmarledge
--- /dev/null
+++ b/src/core/linkpacer.cpp
@@ -0,0 +1,63 @@
+#include "fulmarledge/linkpacer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fulmarledge {
+
+namespace {
+
+/// Part of the link's rate that answers may use. The rest covers packet headers, acknowledgements and control traffic.
+constexpr double kAnswerShare = 0.9;
+constexpr double kBytesPerMsOfMegabit = 125;
+/// Large messages that may leave at once, as time on the link: a small message waits about as long behind them. Long
+/// enough to make up for wake-ups that come late.
+constexpr double kBurstMs = 40;
+/// Time on the link between two wake-ups.
+constexpr double kSegmentMs = 10;
+
+double burstBytes(double bytesPerMs)
+{
+    return bytesPerMs * kBurstMs;
+}
+
+} // namespace
+
+double answerRate(double megabitsPerS)
+{
+    return megabitsPerS * kBytesPerMsOfMegabit * kAnswerShare;
+}
+
+LinkPacer::LinkPacer(double bytesPerMs)
+    : m_bytesPerMs(bytesPerMs)
+    , m_tokens(burstBytes(bytesPerMs))
+{
+}
+
+void LinkPacer::refill(TimeMs now)
+{
+    const auto elapsed = static_cast<double>(std::max<TimeMs>(now - m_refilledAt, 0));
+    m_refilledAt = now;
+    m_tokens = std::min(m_tokens + elapsed * m_bytesPerMs, burstBytes(m_bytesPerMs));
+}
+
+void LinkPacer::sent(std::size_t bytes, TimeMs now)
+{
+    refill(now);
+    m_tokens -= static_cast<double>(bytes);
+}
+
+std::size_t LinkPacer::allowed(TimeMs now)
+{
+    refill(now);
+    return m_tokens > 0 ? static_cast<std::size_t>(m_tokens) : 0;
+}
+
+TimeMs LinkPacer::waitMs(TimeMs now)
+{
+    refill(now);
+    const double missing = m_bytesPerMs * kSegmentMs - m_tokens;
+    return missing <= 0 ? 1 : std::max<TimeMs>(static_cast<TimeMs>(std::ceil(missing / m_bytesPerMs)), 1);
+}
+
+} // namespace fulmarledge
--- a/src/core/retry.cpp
+++ b/src/core/retry.cpp
@@ -114,6 +114,7 @@
     case Reason::ShedLoad:
     case Reason::WrongInstance:
     case Reason::ZoneBusy:
+    case Reason::LinkBusy:
         return true;
     default:
         // Includes "attempts" and "retry-budget": a node further down the call chain has retried already.
--- a/src/core/slotguard.cpp
+++ b/src/core/slotguard.cpp
@@ -27,6 +27,7 @@
     if (hash != m_service) {
         refuseWaiting(Reason::WrongHost);
         m_serviceTimes.clear();
+        m_answerBytes.clear();
         m_bulkLimitedUntil = now;
     }
     m_service = hash;
@@ -47,6 +48,7 @@
     entry.kind = request.kind != 0 ? request.kind : entry.rank;
     entry.objectiveMs = request.objectiveMs;
     entry.objective = request.objective;
+    entry.usesLink = request.usesLink && m_config.answerBytesPerMs > 0;
     return entry;
 }
 
@@ -61,7 +63,7 @@
         reason = Reason::QueueFull;
     }
     if (reason != Reason::None) {
-        return {GuardState::Refuse, {}, reason, backlogMs()};
+        return {GuardState::Refuse, {}, reason, backlogMs(candidate)};
     }
     Entry &entry = m_entries.emplace_back(candidate);
     entry.id = {++m_lastId};
@@ -77,13 +79,16 @@
     return {entry.state, entry.id, Reason::None, 0};
 }
 
-bool SlotGuard::finish(GuardEntryId id, bool answered, TimeMs now)
+bool SlotGuard::finish(GuardEntryId id, bool answered, TimeMs now, std::size_t answerBytes)
 {
     Entry *entry = find(id);
     if (entry == nullptr || entry->state != GuardState::Run) {
         return false;
     }
     m_serviceTimes.add(entry->kind, static_cast<double>(now - entry->started), answered, m_config.serviceTimeWeight);
+    if (entry->usesLink && answered) {
+        m_answerBytes.add(entry->kind, static_cast<double>(answerBytes), true, m_config.serviceTimeWeight);
+    }
     --m_running;
     m_runningBulk -= entry->serviceClass == ServiceClass::Bulk ? 1 : 0;
     remove(*entry);
@@ -170,6 +175,15 @@
     if (request.spillBy > 0 && waitMs > 0 && static_cast<double>(request.spillBy - now) < waitMs + serviceMs(entry)) {
         return Reason::ZoneBusy;
     }
+    if (entry.usesLink) {
+        if (request.spillBy > 0 && !fitsLink(entry, static_cast<double>(request.spillBy - now))) {
+            return Reason::ZoneBusy;
+        }
+        const double share = request.fromOtherZone ? m_config.otherZoneShare : 1;
+        if (!fitsLink(entry, static_cast<double>(entry.objectiveMs) * share)) {
+            return Reason::LinkBusy;
+        }
+    }
     const bool admitted = canMeet(entry, waitMs, now) && isWorthWaiting(entry, waitMs, now);
     return admitted ? Reason::None : Reason::DeadlineUnreachable;
 }
@@ -230,7 +244,35 @@
     return work / m_slots;
 }
 
-TimeMs SlotGuard::backlogMs() const
+double SlotGuard::transferMs(const Entry &entry) const
+{
+    return entry.usesLink ? m_answerBytes.mean(entry.kind) / m_config.answerBytesPerMs : 0;
+}
+
+double SlotGuard::linkBacklogMs() const
+{
+    double result = 0;
+    if (m_config.link) {
+        result = static_cast<double>(m_config.link->waitingBytes.load(std::memory_order_relaxed))
+            / m_config.answerBytesPerMs;
+    }
+    for (const Entry &entry : m_entries) {
+        result += entry.state == GuardState::Refuse ? 0 : transferMs(entry);
+    }
+    return result;
+}
+
+// The answers leave one after the other, so work beyond the rate of the link only makes all of them late, whatever
+// slots are free. The margin keeps the queue short: under sustained overload each answer waits as long as admission
+// allows, and a longer queue sends no more of them.
+bool SlotGuard::fitsLink(const Entry &entry, double byMs) const
+{
+    const double backlog = linkBacklogMs();
+    // An idle link takes an answer of any size, or a large kind would never be served.
+    return entry.objectiveMs == 0 || backlog == 0 || (backlog + transferMs(entry)) * m_config.serviceMargin <= byMs;
+}
+
+TimeMs SlotGuard::backlogMs(const Entry &refused) const
 {
     if (m_slots == 0) {
         return 0;
@@ -239,7 +281,8 @@
     for (const Entry &entry : m_entries) {
         work += entry.state == GuardState::Wait ? serviceMs(entry) : 0;
     }
-    return static_cast<TimeMs>(std::ceil(work / m_slots));
+    const double onLink = refused.usesLink ? linkBacklogMs() : 0;
+    return static_cast<TimeMs>(std::ceil(std::max(work / m_slots, onLink)));
 }
 
 bool SlotGuard::mayStart(ServiceClass serviceClass, TimeMs now) const
@@ -340,7 +383,7 @@
 
 GuardDecision SlotGuard::refuse(Entry &entry)
 {
-    const GuardDecision decision{GuardState::Refuse, entry.id, entry.refusal, backlogMs()};
+    const GuardDecision decision{GuardState::Refuse, entry.id, entry.refusal, backlogMs(entry)};
     m_waiting -= entry.state == GuardState::Wait ? 1 : 0;
     remove(entry);
     publish();
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -48,6 +48,7 @@
         "foreign-answer",
         "wrong-instance",
         "zone-busy",
+        "link-busy",
     };
     const auto index = static_cast<std::size_t>(reason);
     return index < kNames.size() ? kNames[index] : "unknown";
--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -1,5 +1,7 @@
 #include "node_settings.h"
 
+#include "fulmarledge/linkpacer.h"
+
 namespace fulmarledge {
 
 namespace {
@@ -75,6 +77,8 @@
                        requests.hopConfig.silenceMs);
     schema.addDuration("hop.connect_timeout", "time to open a connection to another node", "1s", 50, 60000,
                        requests.hopConfig.connectTimeoutMs);
+    schema.addNumber("hop.link_rate", "rate of this host's link in Mbit/s, to which large answers are held; 0: not held",
+                     "0", 0, 1000000, settings.linkMegabits);
     schema.addInteger("requests.http_threads", "threads that parse callers' requests", "2", 1, 64,
                       requests.httpThreads);
     schema.addInteger("requests.data_threads", "threads that carry requests to other nodes and to the backend server",
@@ -123,6 +127,8 @@
     settings.control.membership.contactReadsPerSecond = kContactReadsPerSecond;
     settings.requests.retry.maxAttempts = static_cast<std::uint32_t>(settings.maxAttempts);
     settings.requests.balancer.consecutiveFailures = static_cast<std::uint32_t>(settings.ejectAfter);
+    // Each data thread writes for itself and gets an equal part.
+    settings.requests.hopConfig.answerBytesPerMs = answerRate(settings.linkMegabits) / settings.requests.dataThreads;
     settings.requests.host = settings.host;
     settings.requests.zone = settings.zone;
     settings.requests.caller = settings.callerAddress.value_or(SocketAddress{settings.address, settings.callerPort});
--- a/src/programs/node_settings.h
+++ b/src/programs/node_settings.h
@@ -33,6 +33,7 @@
     int ejectAfter = 0;
     double retryRatio = 0; ///< of the budget that all nodes share; 0 for a budget of each node
     double retryExtra = 0;
+    double linkMegabits = 0; ///< rate of the link of this host in Mbit/s; 0: not known
     ControlSettings control;
     RequestPathSettings requests;
 };
--- a/tests/adapter_hop.cpp
+++ b/tests/adapter_hop.cpp
@@ -190,3 +190,75 @@
     CHECK(accepted == 2);
     server->closeAll();
 }
+
+// Guards against a paced link that mixes, loses or never sends frames, and against small answers that wait for all large
+// ones of their connection.
+TEST_CASE("large answers arrive whole at the rate of the link, small ones overtake them")
+{
+    HopConfig config = fastConfig();
+    config.silenceMs = 2000;
+    config.answerBytesPerMs = 1000;
+    IoLoop loop;
+    std::unique_ptr<HopServer> server;
+    server = std::make_unique<HopServer>(
+        loop, config,
+        HopServer::Handlers{[&](HopCallId call, wire::HopRequest &&request) {
+                                const bool large = request.body.size() > 1;
+                                server->reply(call, hopAnswer(large ? std::string(100000, request.body[1]) : "small"));
+                            },
+                            [](HopCallId) {}});
+    const HopListener listener(loop, {"127.0.0.1", kPort}, [&](int fd) { server->accept(fd); });
+    HopClient client(loop, fastConfig());
+    std::vector<std::string> order;
+    std::atomic<std::size_t> count{0};
+    const TimeMs begin = monotonicMs();
+    for (const std::string text : {"La", "Lb", "Lc", "s"}) {
+        client.send({"127.0.0.1", kPort}, hopRequest(text), [&, text](HopOutcome outcome) {
+            CHECK(outcome.verdict == Verdict::Answered);
+            CHECK(outcome.response.body == (text == "s" ? "small" : std::string(100000, text[1])));
+            order.push_back(text);
+            ++count;
+        });
+    }
+    runUntil(loop, [&] { return count == 4; });
+    CHECK(order == std::vector<std::string>{"La", "s", "Lb", "Lc"});
+    // 300 KB at 1 KB/ms, of which 40 KB may leave at once.
+    CHECK(monotonicMs() - begin >= 200);
+    CHECK(config.gauge->waitingBytes == 0);
+    server->closeAll();
+}
+
+// Guards against bytes spent on an answer that nobody waits for, and against a count that drifts.
+TEST_CASE("a large answer whose request was cancelled does not leave")
+{
+    HopConfig config = fastConfig();
+    config.silenceMs = 2000;
+    config.answerBytesPerMs = 500;
+    IoLoop loop;
+    std::unique_ptr<HopServer> server;
+    std::vector<HopCallId> calls;
+    server = std::make_unique<HopServer>(
+        loop, config,
+        HopServer::Handlers{[&](HopCallId call, wire::HopRequest &&) {
+                                calls.push_back(call);
+                                server->reply(call, hopAnswer(std::string(200000, 'x')));
+                            },
+                            [](HopCallId) {}});
+    const HopListener listener(loop, {"127.0.0.1", kPort}, [&](int fd) { server->accept(fd); });
+    HopClient client(loop, fastConfig());
+    std::atomic<int> count{0};
+    client.send({"127.0.0.1", kPort}, hopRequest("first"), [&](HopOutcome) { ++count; });
+    std::vector<std::uint64_t> others;
+    for (int i = 0; i < 10; ++i) {
+        others.push_back(client.send({"127.0.0.1", kPort}, hopRequest("other"), [](HopOutcome) { CHECK(false); }));
+    }
+    loop.runAfter(100, [&] {
+        for (const std::uint64_t id : others) {
+            client.cancel(id);
+        }
+    });
+    runUntil(loop, [&] { return count == 1 && calls.size() == 11 && config.gauge->waitingBytes == 0; });
+    CHECK(count == 1);
+    CHECK(config.gauge->waitingBytes == 0);
+    server->closeAll();
+}
--- /dev/null
+++ b/tests/core_linkpacer.cpp
@@ -0,0 +1,183 @@
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "fulmarledge/linkpacer.h"
+#include "fulmarledge/slotguard.h"
+#include "request_fakes.h"
+
+using namespace fulmarledge;
+using namespace fulmarledge::requesttest;
+
+namespace {
+
+constexpr double kLinkBytesPerMs = 937.5; // 7.5 Mbit/s
+constexpr std::size_t kSmallBytes = 600;
+constexpr std::size_t kLargeBytes = 90000;
+constexpr std::uint64_t kDownload = 1;
+constexpr TimeMs kObjectiveMs = 800;
+
+/// The queue in front of a link: bytes that were written and have not left yet.
+struct Link {
+    void write(std::size_t bytes)
+    {
+        queued += static_cast<double>(bytes);
+    }
+    void pass(TimeMs ms)
+    {
+        queued = std::max(queued - static_cast<double>(ms) * kLinkBytesPerMs, 0.0);
+    }
+    double queued = 0;
+};
+
+GuardRequest download(TimeMs now, bool fromOtherZone = false)
+{
+    GuardRequest request;
+    request.service = "archive";
+    request.rank = 2;
+    request.kind = kDownload;
+    request.objectiveMs = kObjectiveMs;
+    request.objective = now + kObjectiveMs;
+    request.deadline = now + 5000;
+    request.usesLink = true;
+    request.fromOtherZone = fromOtherZone;
+    return request;
+}
+
+/// A host whose link is narrower than its slots: 12 slots of 180 ms, 90 KB per answer.
+struct Host {
+    Host()
+    {
+        GuardConfig config;
+        config.answerBytesPerMs = answerRate(7.5);
+        config.link = gauge;
+        guard = std::make_unique<SlotGuard>(config);
+        guard->serve("archive", 12, 0);
+    }
+    void add(std::ptrdiff_t bytes) const
+    {
+        gauge->waitingBytes.fetch_add(bytes);
+    }
+    /// Runs one request to its end, so that the guard knows the size and the time of the kind.
+    void learn()
+    {
+        const GuardDecision first = guard->submit(download(0), 0);
+        REQUIRE(first.state == GuardState::Run);
+        REQUIRE(guard->finish(first.id, true, 180, kLargeBytes));
+    }
+
+    std::shared_ptr<LinkGauge> gauge = std::make_shared<LinkGauge>();
+    std::unique_ptr<SlotGuard> guard;
+};
+
+} // namespace
+
+// Pattern: bufferbloat. Guards against small answers and handshakes that wait for a second behind large answers.
+TEST_CASE("large messages leave a short queue on the link and use most of its rate")
+{
+    LinkPacer pacer(answerRate(7.5));
+    Link link;
+    std::size_t large = 0;
+    double longest = 0;
+    TimeMs wakeAt = 0;
+    for (TimeMs now = 1; now <= 10000; ++now) {
+        link.pass(1);
+        if (now % 10 == 0) {
+            link.write(kSmallBytes);
+            pacer.sent(kSmallBytes, now);
+        }
+        // A wake-up comes up to 20 ms late.
+        if (now >= wakeAt) {
+            const std::size_t allowed = pacer.allowed(now);
+            link.write(allowed);
+            pacer.sent(allowed, now);
+            large += allowed;
+            wakeAt = now + pacer.waitMs(now) + (now % 3) * 10;
+        }
+        longest = std::max(longest, link.queued / kLinkBytesPerMs);
+    }
+    CHECK(longest < 60);
+    const double used = (static_cast<double>(large) + 1000.0 * kSmallBytes) / (10000 * kLinkBytesPerMs);
+    CHECK(used > 0.85);
+    CHECK(used < 0.92);
+}
+
+TEST_CASE("a link without a rate is not paced")
+{
+    CHECK_FALSE(LinkPacer(answerRate(0)).isActive());
+    CHECK(LinkPacer(answerRate(1000)).isActive());
+}
+
+// Pattern: overload of the link while slots are free. Guards against answers that are admitted by their slots and all
+// leave late, and against an idle link on which they are refused.
+TEST_CASE("large answers are admitted by the time on the link")
+{
+    Host host;
+    host.learn();
+    TimeMs now = 200;
+    std::deque<std::pair<TimeMs, GuardEntryId>> running; // end, id
+    std::deque<std::pair<TimeMs, std::ptrdiff_t>> queue; // admission, bytes left
+    const double rate = answerRate(7.5);
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+    std::map<std::uint64_t, TimeMs> admittedAt;
+    double credit = 0;
+    // 25 requests a second on a link for 9.4.
+    for (; now < 20000; ++now) {
+        if (now % 40 == 0) {
+            const GuardDecision decision = host.guard->submit(download(now), now);
+            if (decision.state == GuardState::Run) {
+                running.emplace_back(now + 180, decision.id);
+                admittedAt[decision.id.value] = now;
+            } else {
+                CHECK(decision.reason == Reason::LinkBusy);
+                CHECK(decision.retryAfterMs > 0);
+                ++refused;
+            }
+        }
+        while (!running.empty() && running.front().first <= now) {
+            host.guard->finish(running.front().second, true, now, kLargeBytes);
+            queue.emplace_back(admittedAt[running.front().second.value], static_cast<std::ptrdiff_t>(kLargeBytes));
+            host.add(static_cast<std::ptrdiff_t>(kLargeBytes));
+            running.pop_front();
+        }
+        credit = queue.empty() ? 0 : credit + rate;
+        while (!queue.empty() && credit >= static_cast<double>(queue.front().second)) {
+            credit -= static_cast<double>(queue.front().second);
+            (now - queue.front().first <= kObjectiveMs ? inTime : late) += 1;
+            host.add(-queue.front().second);
+            queue.pop_front();
+        }
+    }
+    CHECK(late == 0);
+    // 90% of what the link can carry.
+    CHECK(inTime > 0.9 * 19.8 * 1000 * rate / kLargeBytes);
+    CHECK(refused > 0);
+}
+
+// Guards against answers that cross between data centres while callers of the own one are waiting for the same link.
+TEST_CASE("the second half of the link's queue is kept for the own data centre")
+{
+    Host host;
+    host.learn();
+    CHECK(host.guard->submit(download(200, true), 200).state == GuardState::Run);
+    host.add(3 * static_cast<std::ptrdiff_t>(kLargeBytes));
+    CHECK(host.guard->submit(download(200, true), 200).reason == Reason::LinkBusy);
+    CHECK(host.guard->submit(download(200), 200).state == GuardState::Run);
+    host.add(3 * static_cast<std::ptrdiff_t>(kLargeBytes));
+    CHECK(host.guard->submit(download(200), 200).reason == Reason::LinkBusy);
+}
+
+// Guards against refusals for the link of work that does not use it.
+TEST_CASE("small work and callers of the same host do not wait for the link")
+{
+    Host host;
+    host.learn();
+    host.add(100 * static_cast<std::ptrdiff_t>(kLargeBytes));
+    GuardRequest local = download(200);
+    local.usesLink = false;
+    CHECK(host.guard->submit(local, 200).state == GuardState::Run);
+}
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -123,6 +123,8 @@
   17: optional i32 objectiveLeftMs
   // Refused as busy if it would have to wait and not be finished within this time, because others may have room.
   18: optional i32 spillLeftMs
+  // The caller is in another data centre.
+  19: optional bool fromOtherZone
 }
 
 struct HopResponse {
