--- a/tests/core_requests_allocations.cpp
+++ b/tests/core_requests_allocations.cpp
@@ -127,11 +127,12 @@
     std::string routes;
     for (int i = 0; i < 1600; ++i) {
         routes += (i > 0 ? "," : "") + std::string(R"({"path_prefix":"/r)") + std::to_string(i)
-            + R"(/","service":"bookings","kind":"safe","timeout_ms":2500})";
+            + R"(","service":"bookings","kind":"safe","timeout_ms":2500})";
     }
     LastReason error;
     const auto manifest
         = Manifest::parse(R"({"format":1,"services":[{"name":"bookings"}],"routes":[)" + routes + "]}", error);
+    INFO(error.text());
     REQUIRE(manifest);
     const std::size_t before = allocations;
     const std::string text = manifest->canonicalText();
