Let hosts with the fastest links watch the platform, and count the time on the way against deadlines

The platform sends each watcher the whole configuration for each version, which fills links of 7.5 Mbit/s; the same hosts serve requests. Change: the host record carries the rate of the link, and watchers are chosen by it first, by rendezvous hashing among equals. Change: requests carry the sender's monotonic time; each connection knows its fastest message and takes what others took longer off the times left. What has no time left is refused as not run.

--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -165,6 +165,11 @@
   this->warmupLeftMs = val;
 __isset.warmupLeftMs = true;
 }
+
+void HostRecord::__set_linkMegabits(const int32_t val) {
+  this->linkMegabits = val;
+__isset.linkMegabits = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostRecord& obj)
 {
   obj.printTo(out);
@@ -301,6 +306,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->linkMegabits);
+          this->__isset.linkMegabits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -371,6 +384,11 @@
     xfer += oprot->writeI32(this->warmupLeftMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.linkMegabits) {
+    xfer += oprot->writeFieldBegin("linkMegabits", ::apache::thrift::protocol::T_I32, 14);
+    xfer += oprot->writeI32(this->linkMegabits);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -391,6 +409,7 @@
   swap(a.liveness, b.liveness);
   swap(a.slots, b.slots);
   swap(a.warmupLeftMs, b.warmupLeftMs);
+  swap(a.linkMegabits, b.linkMegabits);
   swap(a.__isset, b.__isset);
 }
 
@@ -408,6 +427,7 @@
   liveness = other2.liveness;
   slots = other2.slots;
   warmupLeftMs = other2.warmupLeftMs;
+  linkMegabits = other2.linkMegabits;
   __isset = other2.__isset;
 }
 HostRecord::HostRecord(HostRecord&& other3) noexcept {
@@ -424,6 +444,7 @@
   liveness = other3.liveness;
   slots = other3.slots;
   warmupLeftMs = other3.warmupLeftMs;
+  linkMegabits = other3.linkMegabits;
   __isset = other3.__isset;
 }
 HostRecord& HostRecord::operator=(const HostRecord& other4) {
@@ -440,6 +461,7 @@
   liveness = other4.liveness;
   slots = other4.slots;
   warmupLeftMs = other4.warmupLeftMs;
+  linkMegabits = other4.linkMegabits;
   __isset = other4.__isset;
   return *this;
 }
@@ -457,6 +479,7 @@
   liveness = other5.liveness;
   slots = other5.slots;
   warmupLeftMs = other5.warmupLeftMs;
+  linkMegabits = other5.linkMegabits;
   __isset = other5.__isset;
   return *this;
 }
@@ -476,6 +499,7 @@
   out << ", " << "liveness=" << to_string(liveness);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "warmupLeftMs="; (__isset.warmupLeftMs ? (out << to_string(warmupLeftMs)) : (out << "<null>"));
+  out << ", " << "linkMegabits="; (__isset.linkMegabits ? (out << to_string(linkMegabits)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3544,6 +3568,11 @@
   this->fromOtherZone = val;
 __isset.fromOtherZone = true;
 }
+
+void HopRequest::__set_sentMs(const int64_t val) {
+  this->sentMs = val;
+__isset.sentMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const HopRequest& obj)
 {
   obj.printTo(out);
@@ -3736,6 +3765,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentMs);
+          this->__isset.sentMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3844,6 +3881,11 @@
     xfer += oprot->writeBool(this->fromOtherZone);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.sentMs) {
+    xfer += oprot->writeFieldBegin("sentMs", ::apache::thrift::protocol::T_I64, 20);
+    xfer += oprot->writeI64(this->sentMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3870,6 +3912,7 @@
   swap(a.objectiveLeftMs, b.objectiveLeftMs);
   swap(a.spillLeftMs, b.spillLeftMs);
   swap(a.fromOtherZone, b.fromOtherZone);
+  swap(a.sentMs, b.sentMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -3893,6 +3936,7 @@
   objectiveLeftMs = other138.objectiveLeftMs;
   spillLeftMs = other138.spillLeftMs;
   fromOtherZone = other138.fromOtherZone;
+  sentMs = other138.sentMs;
   __isset = other138.__isset;
 }
 HopRequest::HopRequest(HopRequest&& other139) noexcept {
@@ -3915,6 +3959,7 @@
   objectiveLeftMs = other139.objectiveLeftMs;
   spillLeftMs = other139.spillLeftMs;
   fromOtherZone = other139.fromOtherZone;
+  sentMs = other139.sentMs;
   __isset = other139.__isset;
 }
 HopRequest& HopRequest::operator=(const HopRequest& other140) {
@@ -3937,6 +3982,7 @@
   objectiveLeftMs = other140.objectiveLeftMs;
   spillLeftMs = other140.spillLeftMs;
   fromOtherZone = other140.fromOtherZone;
+  sentMs = other140.sentMs;
   __isset = other140.__isset;
   return *this;
 }
@@ -3960,6 +4006,7 @@
   objectiveLeftMs = other141.objectiveLeftMs;
   spillLeftMs = other141.spillLeftMs;
   fromOtherZone = other141.fromOtherZone;
+  sentMs = other141.sentMs;
   __isset = other141.__isset;
   return *this;
 }
@@ -3985,6 +4032,7 @@
   out << ", " << "objectiveLeftMs="; (__isset.objectiveLeftMs ? (out << to_string(objectiveLeftMs)) : (out << "<null>"));
   out << ", " << "spillLeftMs="; (__isset.spillLeftMs ? (out << to_string(spillLeftMs)) : (out << "<null>"));
   out << ", " << "fromOtherZone="; (__isset.fromOtherZone ? (out << to_string(fromOtherZone)) : (out << "<null>"));
+  out << ", " << "sentMs="; (__isset.sentMs ? (out << to_string(sentMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -113,7 +113,7 @@
 class HopFrame;
 
 typedef struct _HostRecord__isset {
-  _HostRecord__isset() : host(false), zone(false), serviceName(false), address(false), controlPort(false), hopPort(false), callerPort(false), adminPort(false), incarnation(false), state(false), liveness(false), slots(false), warmupLeftMs(false) {}
+  _HostRecord__isset() : host(false), zone(false), serviceName(false), address(false), controlPort(false), hopPort(false), callerPort(false), adminPort(false), incarnation(false), state(false), liveness(false), slots(false), warmupLeftMs(false), linkMegabits(false) {}
   bool host :1;
   bool zone :1;
   bool serviceName :1;
@@ -127,6 +127,7 @@
   bool liveness :1;
   bool slots :1;
   bool warmupLeftMs :1;
+  bool linkMegabits :1;
 } _HostRecord__isset;
 
 class HostRecord : public virtual ::apache::thrift::TBase {
@@ -149,7 +150,8 @@
                state(static_cast<HostState::type>(0)),
                liveness(static_cast<Liveness::type>(0)),
                slots(0),
-               warmupLeftMs(0) {
+               warmupLeftMs(0),
+               linkMegabits(0) {
   }
 
   virtual ~HostRecord() noexcept;
@@ -174,6 +176,7 @@
   Liveness::type liveness;
   int32_t slots;
   int32_t warmupLeftMs;
+  int32_t linkMegabits;
 
   _HostRecord__isset __isset;
 
@@ -203,6 +206,8 @@
 
   void __set_warmupLeftMs(const int32_t val);
 
+  void __set_linkMegabits(const int32_t val);
+
   bool operator == (const HostRecord & rhs) const
   {
     if (!(host == rhs.host))
@@ -233,6 +238,10 @@
       return false;
     else if (__isset.warmupLeftMs && !(warmupLeftMs == rhs.warmupLeftMs))
       return false;
+    if (__isset.linkMegabits != rhs.__isset.linkMegabits)
+      return false;
+    else if (__isset.linkMegabits && !(linkMegabits == rhs.linkMegabits))
+      return false;
     return true;
   }
   bool operator != (const HostRecord &rhs) const {
@@ -1372,7 +1381,7 @@
 std::ostream& operator<<(std::ostream& out, const HttpField& obj);
 
 typedef struct _HopRequest__isset {
-  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false), hostName(false), rank(false), kind(false), objectiveMs(false), objectiveLeftMs(false), spillLeftMs(false), fromOtherZone(false) {}
+  _HopRequest__isset() : id(false), serviceName(false), method(false), target(false), fields(false), body(false), deadlineMs(false), requestId(false), idempotencyKey(false), caller(false), bulk(false), version(false), hostName(false), rank(false), kind(false), objectiveMs(false), objectiveLeftMs(false), spillLeftMs(false), fromOtherZone(false), sentMs(false) {}
   bool id :1;
   bool serviceName :1;
   bool method :1;
@@ -1392,6 +1401,7 @@
   bool objectiveLeftMs :1;
   bool spillLeftMs :1;
   bool fromOtherZone :1;
+  bool sentMs :1;
 } _HopRequest__isset;
 
 class HopRequest : public virtual ::apache::thrift::TBase {
@@ -1419,7 +1429,8 @@
                objectiveMs(0),
                objectiveLeftMs(0),
                spillLeftMs(0),
-               fromOtherZone(0) {
+               fromOtherZone(0),
+               sentMs(0) {
   }
 
   virtual ~HopRequest() noexcept;
@@ -1442,6 +1453,7 @@
   int32_t objectiveLeftMs;
   int32_t spillLeftMs;
   bool fromOtherZone;
+  int64_t sentMs;
 
   _HopRequest__isset __isset;
 
@@ -1483,6 +1495,8 @@
 
   void __set_fromOtherZone(const bool val);
 
+  void __set_sentMs(const int64_t val);
+
   bool operator == (const HopRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -1537,6 +1551,10 @@
       return false;
     else if (__isset.fromOtherZone && !(fromOtherZone == rhs.fromOtherZone))
       return false;
+    if (__isset.sentMs != rhs.__isset.sentMs)
+      return false;
+    else if (__isset.sentMs && !(sentMs == rhs.sentMs))
+      return false;
     return true;
   }
   bool operator != (const HopRequest &rhs) const {
--- a/include/fulmarledge/memberview.h
+++ b/include/fulmarledge/memberview.h
@@ -16,6 +16,7 @@
     SocketAddress control; ///< address of its control port
     std::uint64_t hash = 0; ///< memberHash(host), the order of the push tree
     std::int64_t incarnation = 0;
+    std::int32_t linkMegabits = 0; ///< rate of its link in Mbit/s, 0 when not known
     Version version = 0; ///< manifest version that it last reported
     TimeMs versionSeenMs = 0; ///< when it reported the version
 };
--- a/src/adapters/hop.cpp
+++ b/src/adapters/hop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
+#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -26,6 +27,19 @@
     return result;
 }
 
+/// Takes the time on the way off the times left, which are stated as of sending. A request that was long on the way
+/// would otherwise run after its caller left.
+/// @return false when no time is left
+bool takeOff(wire::HopRequest &request, TimeMs delayMs)
+{
+    const auto delay
+        = static_cast<std::int32_t>(std::min<TimeMs>(delayMs, std::numeric_limits<std::int32_t>::max() / 2));
+    request.deadlineMs -= delay;
+    request.objectiveLeftMs -= delay;
+    request.spillLeftMs -= delay;
+    return request.deadlineMs > 0;
+}
+
 void setNoDelay(int fd)
 {
     const int on = 1;
@@ -87,6 +101,7 @@
     const std::uint64_t id = m_nextId++;
     const PeerKey key{peer, request.bulk};
     request.__set_id(static_cast<std::int64_t>(id));
+    request.__set_sentMs(monotonicMs());
     wire::HopFrame frame;
     frame.request = std::move(request);
     frame.__isset.request = true;
@@ -269,9 +284,20 @@
     Link &from = m_links[link];
     if (frame.__isset.request) {
         // A repeated id on one connection would pair an answer with the wrong request.
-        if (from.calls.emplace(frame.request.id, true).second) {
-            m_handlers.onRequest({link, frame.request.id}, std::move(frame.request));
+        if (!from.calls.emplace(frame.request.id, true).second) {
+            return;
+        }
+        const HopCallId call{link, frame.request.id};
+        const bool late = frame.request.__isset.sentMs && frame.request.deadlineMs > 0
+            && !takeOff(frame.request, from.transit.delayMs(frame.request.sentMs, monotonicMs()));
+        if (late) {
+            wire::HopResponse refused;
+            refused.__set_verdict(wire::Verdict::NotRun);
+            refused.__set_reason(static_cast<std::int32_t>(Reason::DeadlineExceeded));
+            reply(call, std::move(refused));
+            return;
         }
+        m_handlers.onRequest(call, std::move(frame.request));
     } else if (frame.__isset.cancel) {
         if (from.calls.erase(frame.cancel.id) > 0) {
             m_handlers.onCancel({link, frame.cancel.id});
--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "fulmarledge/linkpacer.h"
+#include "fulmarledge/transitclock.h"
 #include "fulmarledge/types.h"
 #include "fulmarledge/verdict.h"
 #include "fulmarledge_types.h"
@@ -218,6 +219,7 @@
     struct Link {
         std::unique_ptr<HopLink> link;
         std::map<std::int64_t, bool> calls;
+        TransitClock transit;
     };
 
     void onFrame(std::uint64_t link, wire::HopFrame &&frame);
--- a/src/core/hosttable.cpp
+++ b/src/core/hosttable.cpp
@@ -70,6 +70,9 @@
     if (record.__isset.warmupLeftMs) {
         hash = XXH3_64bits_withSeed(&record.warmupLeftMs, sizeof(record.warmupLeftMs), hash);
     }
+    if (record.__isset.linkMegabits) {
+        hash = XXH3_64bits_withSeed(&record.linkMegabits, sizeof(record.linkMegabits), hash);
+    }
     for (const std::string *text : {&record.zone, &record.serviceName, &record.address}) {
         hash = XXH3_64bits_withSeed(text->data(), text->size(), hash);
     }
@@ -103,6 +106,9 @@
     if (record.__isset.warmupLeftMs) {
         size += 1 + signedSize(record.warmupLeftMs);
     }
+    if (record.__isset.linkMegabits) {
+        size += 1 + signedSize(record.linkMegabits);
+    }
     return size;
 }
 
@@ -117,7 +123,7 @@
         && isPort(record.callerPort) && isPort(record.adminPort) && record.incarnation > 0
         && record.incarnation < kMaxIncarnation && state >= wire::HostState::Starting && state <= wire::HostState::Left
         && liveness >= wire::Liveness::Alive && liveness <= wire::Liveness::Dead && record.slots >= 0
-        && record.warmupLeftMs >= 0;
+        && record.warmupLeftMs >= 0 && record.linkMegabits >= 0;
 }
 
 HostTable::HostTable(const wire::HostRecord &self)
@@ -167,6 +173,7 @@
     } else if (Member *entry = member(slot); entry != nullptr) {
         entry->control = controlAddress(record);
         entry->incarnation = record.incarnation;
+        entry->linkMegabits = record.linkMegabits;
     }
     updateHash(slot);
     return slot;
@@ -283,7 +290,8 @@
     std::vector<Member> &members = zone->second.members;
     const std::uint64_t hash = m_entries[slot].hash;
     zone->second.sorted = zone->second.sorted && (members.empty() || members.back().hash < hash);
-    members.push_back({record.host, record.zone, controlAddress(record), hash, record.incarnation, 0, 0});
+    members.push_back(
+        {record.host, record.zone, controlAddress(record), hash, record.incarnation, record.linkMegabits, 0, 0});
 }
 
 void HostTable::unlinkZone(std::uint32_t slot)
--- a/src/core/pushtree.cpp
+++ b/src/core/pushtree.cpp
@@ -62,16 +62,22 @@
     return out;
 }
 
-int watcherRank(std::span<const Member> members, std::string_view zone, std::string_view host, int watchers)
+int watcherRank(std::span<const Member> members, std::string_view zone, const Member &self, int watchers)
 {
-    const std::uint64_t own = rendezvousWeight(zone, host);
+    const std::uint64_t own = rendezvousWeight(zone, self.host);
+    const auto goesBefore = [&](const Member &member) {
+        // The platform sends each watcher the whole configuration for each change, which takes long on a slow link.
+        if (member.linkMegabits != self.linkMegabits) {
+            return member.linkMegabits > self.linkMegabits;
+        }
+        const std::uint64_t weight = rendezvousWeight(zone, member.host);
+        return weight > own || (weight == own && member.host < self.host);
+    };
     int rank = 0;
     for (const Member &member : members) {
-        const std::uint64_t weight = rendezvousWeight(zone, member.host);
-        if (weight > own || (weight == own && member.host < host)) {
-            if (++rank == watchers) {
-                break;
-            }
+        rank += member.host != self.host && goesBefore(member) ? 1 : 0;
+        if (rank == watchers) {
+            break;
         }
     }
     return rank;
--- a/src/core/pushtree_p.h
+++ b/src/core/pushtree_p.h
@@ -40,6 +40,6 @@
                                        int fanOut);
 
 /// Position of `host` among the watchers of its zone, or `watchers` when it is none of them.
-int watcherRank(std::span<const Member> members, std::string_view zone, std::string_view host, int watchers);
+int watcherRank(std::span<const Member> members, std::string_view zone, const Member &self, int watchers);
 
 } // namespace fulmarledge
--- a/src/core/spreadfloor.cpp
+++ b/src/core/spreadfloor.cpp
@@ -61,7 +61,7 @@
     }
     m_nextRankAt = m_now + kRankPeriodMs;
     const Member &self = m_members.self();
-    m_rank = watcherRank(zoneMembers(), self.zone, self.host, m_settings.watchersPerZone);
+    m_rank = watcherRank(zoneMembers(), self.zone, self, m_settings.watchersPerZone);
     m_reader.setWatching(m_now, m_settings.way == SpreadWay::Direct || m_rank < m_settings.watchersPerZone);
     if (m_reader.wanted() != 0 && m_rank < m_settings.watchersPerZone) {
         m_reader.want(m_reader.wanted(), headTarget().digest, m_now + fetchDelay());
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -69,6 +69,9 @@
     record.adminPort = settings.adminPort;
     record.state = wire::HostState::Starting;
     record.liveness = wire::Liveness::Alive;
+    if (settings.linkMegabits > 0) {
+        record.__set_linkMegabits(static_cast<std::int32_t>(settings.linkMegabits));
+    }
     return record;
 }
 
--- a/tests/adapter_hop.cpp
+++ b/tests/adapter_hop.cpp
@@ -1,5 +1,7 @@
+#include <array>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <sys/socket.h>
 
 #include "datapathfixture.h"
 #include "hop.h"
@@ -262,3 +264,48 @@
     CHECK(config.gauge->waitingBytes == 0);
     server->closeAll();
 }
+
+// Guards against work for a caller that has left, when the request was held up on the way.
+TEST_CASE("a request that was on the way for its whole deadline does not run")
+{
+    IoLoop loop;
+    std::vector<std::int32_t> left;
+    std::unique_ptr<HopServer> server;
+    server = std::make_unique<HopServer>(loop, fastConfig(),
+                                         HopServer::Handlers{[&](HopCallId call, wire::HopRequest &&request) {
+                                                                 left.push_back(request.deadlineMs);
+                                                                 server->reply(call, hopAnswer("ran"));
+                                                             },
+                                                             [](HopCallId) {}});
+    std::array<int, 2> ends{};
+    REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+    server->accept(ends[0]);
+    std::atomic<int> answers{0};
+    std::vector<Reason> reasons;
+    HopLink sender(loop, ends[1], false, fastConfig(),
+                   {[&](wire::HopFrame &&frame) {
+                        reasons.push_back(static_cast<Reason>(frame.response.reason));
+                        ++answers;
+                    },
+                    [] {}});
+    const auto send = [&](std::int64_t id, std::int64_t sentMs) {
+        wire::HopFrame frame;
+        frame.request.__set_id(id);
+        frame.request.__set_deadlineMs(600);
+        frame.request.__set_sentMs(sentMs);
+        frame.__isset.request = true;
+        sender.send(frame);
+    };
+    // The sender's clock is behind by an hour.
+    const TimeMs there = monotonicMs() - 3600000;
+    send(1, there);
+    send(2, there - 200);
+    send(3, there - 700);
+    runUntil(loop, [&] { return answers == 3; });
+    REQUIRE(left.size() == 2);
+    CHECK(left[0] == 600);
+    CHECK(left[1] > 300);
+    CHECK(left[1] <= 400);
+    CHECK(reasons == std::vector<Reason>{Reason::None, Reason::None, Reason::DeadlineExceeded});
+    server->closeAll();
+}
--- a/tests/core_membership.cpp
+++ b/tests/core_membership.cpp
@@ -77,6 +77,8 @@
         record.slots = slots;
         record.__isset.warmupLeftMs = slots > 0;
         record.warmupLeftMs = 30 * slots;
+        record.__isset.linkMegabits = slots > 0;
+        record.linkMegabits = slots;
         wire::Envelope message;
         const std::size_t empty = encodedBytes(message);
         message.updates = {record};
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -21,6 +21,8 @@
   // How much longer the backend server stays slow after its start, in ms from the last change of this record. Not set
   // when it does not say.
   13: optional i32 warmupLeftMs
+  // Rate of the host's link in Mbit/s, rounded down. Not set when it is not known.
+  14: optional i32 linkMegabits
 }
 
 // Sender of a message. Each message also advertises the manifest version that the sender runs.
@@ -125,6 +127,8 @@
   18: optional i32 spillLeftMs
   // The caller is in another data centre.
   19: optional bool fromOtherZone
+  // Time of sending by the sender's monotonic clock, in ms.
+  20: optional i64 sentMs
 }
 
 struct HopResponse {
