Keep an acknowledged leave across a restart of the node that acknowledged it

The last announcement of i-d86855b489 was acknowledged at 22.2 s, its node was stopped in turn and started again, and an announcement sent before arrived at 24.2 s and was taken for a new process. Change: the host record carries the process that leaves; the others remember it and tell the host's next process when it joins or fetches the table. A leave of a process that is not known is kept for 8 s, since it does not state the start. Not covered: all nodes lost between the acknowledgement and the late announcement.

--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -170,6 +170,16 @@
   this->linkMegabits = val;
 __isset.linkMegabits = true;
 }
+
+void HostRecord::__set_leavingInstance(const std::string& val) {
+  this->leavingInstance = val;
+__isset.leavingInstance = true;
+}
+
+void HostRecord::__set_leavingBornMs(const int64_t val) {
+  this->leavingBornMs = val;
+__isset.leavingBornMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostRecord& obj)
 {
   obj.printTo(out);
@@ -314,6 +324,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leavingInstance);
+          this->__isset.leavingInstance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leavingBornMs);
+          this->__isset.leavingBornMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -389,6 +415,16 @@
     xfer += oprot->writeI32(this->linkMegabits);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.leavingInstance) {
+    xfer += oprot->writeFieldBegin("leavingInstance", ::apache::thrift::protocol::T_STRING, 15);
+    xfer += oprot->writeString(this->leavingInstance);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.leavingBornMs) {
+    xfer += oprot->writeFieldBegin("leavingBornMs", ::apache::thrift::protocol::T_I64, 16);
+    xfer += oprot->writeI64(this->leavingBornMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -410,6 +446,8 @@
   swap(a.slots, b.slots);
   swap(a.warmupLeftMs, b.warmupLeftMs);
   swap(a.linkMegabits, b.linkMegabits);
+  swap(a.leavingInstance, b.leavingInstance);
+  swap(a.leavingBornMs, b.leavingBornMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -428,6 +466,8 @@
   slots = other2.slots;
   warmupLeftMs = other2.warmupLeftMs;
   linkMegabits = other2.linkMegabits;
+  leavingInstance = other2.leavingInstance;
+  leavingBornMs = other2.leavingBornMs;
   __isset = other2.__isset;
 }
 HostRecord::HostRecord(HostRecord&& other3) noexcept {
@@ -445,6 +485,8 @@
   slots = other3.slots;
   warmupLeftMs = other3.warmupLeftMs;
   linkMegabits = other3.linkMegabits;
+  leavingInstance = std::move(other3.leavingInstance);
+  leavingBornMs = other3.leavingBornMs;
   __isset = other3.__isset;
 }
 HostRecord& HostRecord::operator=(const HostRecord& other4) {
@@ -462,6 +504,8 @@
   slots = other4.slots;
   warmupLeftMs = other4.warmupLeftMs;
   linkMegabits = other4.linkMegabits;
+  leavingInstance = other4.leavingInstance;
+  leavingBornMs = other4.leavingBornMs;
   __isset = other4.__isset;
   return *this;
 }
@@ -480,6 +524,8 @@
   slots = other5.slots;
   warmupLeftMs = other5.warmupLeftMs;
   linkMegabits = other5.linkMegabits;
+  leavingInstance = std::move(other5.leavingInstance);
+  leavingBornMs = other5.leavingBornMs;
   __isset = other5.__isset;
   return *this;
 }
@@ -500,6 +546,8 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "warmupLeftMs="; (__isset.warmupLeftMs ? (out << to_string(warmupLeftMs)) : (out << "<null>"));
   out << ", " << "linkMegabits="; (__isset.linkMegabits ? (out << to_string(linkMegabits)) : (out << "<null>"));
+  out << ", " << "leavingInstance="; (__isset.leavingInstance ? (out << to_string(leavingInstance)) : (out << "<null>"));
+  out << ", " << "leavingBornMs="; (__isset.leavingBornMs ? (out << to_string(leavingBornMs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2486,6 +2534,16 @@
 void TableReply::__set_records(const std::vector<HostRecord> & val) {
   this->records = val;
 }
+
+void TableReply::__set_leavingInstance(const std::string& val) {
+  this->leavingInstance = val;
+__isset.leavingInstance = true;
+}
+
+void TableReply::__set_leavingBornMs(const int64_t val) {
+  this->leavingBornMs = val;
+__isset.leavingBornMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const TableReply& obj)
 {
   obj.printTo(out);
@@ -2554,6 +2612,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leavingInstance);
+          this->__isset.leavingInstance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leavingBornMs);
+          this->__isset.leavingBornMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2595,6 +2669,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.leavingInstance) {
+    xfer += oprot->writeFieldBegin("leavingInstance", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->leavingInstance);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.leavingBornMs) {
+    xfer += oprot->writeFieldBegin("leavingBornMs", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->leavingBornMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2604,28 +2688,38 @@
   using ::std::swap;
   swap(a.buckets, b.buckets);
   swap(a.records, b.records);
+  swap(a.leavingInstance, b.leavingInstance);
+  swap(a.leavingBornMs, b.leavingBornMs);
   swap(a.__isset, b.__isset);
 }
 
 TableReply::TableReply(const TableReply& other100) {
   buckets = other100.buckets;
   records = other100.records;
+  leavingInstance = other100.leavingInstance;
+  leavingBornMs = other100.leavingBornMs;
   __isset = other100.__isset;
 }
 TableReply::TableReply(TableReply&& other101) noexcept {
   buckets = std::move(other101.buckets);
   records = std::move(other101.records);
+  leavingInstance = std::move(other101.leavingInstance);
+  leavingBornMs = other101.leavingBornMs;
   __isset = other101.__isset;
 }
 TableReply& TableReply::operator=(const TableReply& other102) {
   buckets = other102.buckets;
   records = other102.records;
+  leavingInstance = other102.leavingInstance;
+  leavingBornMs = other102.leavingBornMs;
   __isset = other102.__isset;
   return *this;
 }
 TableReply& TableReply::operator=(TableReply&& other103) noexcept {
   buckets = std::move(other103.buckets);
   records = std::move(other103.records);
+  leavingInstance = std::move(other103.leavingInstance);
+  leavingBornMs = other103.leavingBornMs;
   __isset = other103.__isset;
   return *this;
 }
@@ -2634,6 +2728,8 @@
   out << "TableReply(";
   out << "buckets=" << to_string(buckets);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "leavingInstance="; (__isset.leavingInstance ? (out << to_string(leavingInstance)) : (out << "<null>"));
+  out << ", " << "leavingBornMs="; (__isset.leavingBornMs ? (out << to_string(leavingBornMs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2754,6 +2850,16 @@
 void JoinReply::__set_records(const std::vector<HostRecord> & val) {
   this->records = val;
 }
+
+void JoinReply::__set_leavingInstance(const std::string& val) {
+  this->leavingInstance = val;
+__isset.leavingInstance = true;
+}
+
+void JoinReply::__set_leavingBornMs(const int64_t val) {
+  this->leavingBornMs = val;
+__isset.leavingBornMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const JoinReply& obj)
 {
   obj.printTo(out);
@@ -2818,6 +2924,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leavingInstance);
+          this->__isset.leavingInstance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leavingBornMs);
+          this->__isset.leavingBornMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2855,6 +2977,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.leavingInstance) {
+    xfer += oprot->writeFieldBegin("leavingInstance", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->leavingInstance);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.leavingBornMs) {
+    xfer += oprot->writeFieldBegin("leavingBornMs", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->leavingBornMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2865,6 +2997,8 @@
   swap(a.sequence, b.sequence);
   swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.records, b.records);
+  swap(a.leavingInstance, b.leavingInstance);
+  swap(a.leavingBornMs, b.leavingBornMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2872,18 +3006,24 @@
   sequence = other114.sequence;
   retryAfterMs = other114.retryAfterMs;
   records = other114.records;
+  leavingInstance = other114.leavingInstance;
+  leavingBornMs = other114.leavingBornMs;
   __isset = other114.__isset;
 }
 JoinReply::JoinReply(JoinReply&& other115) noexcept {
   sequence = other115.sequence;
   retryAfterMs = other115.retryAfterMs;
   records = std::move(other115.records);
+  leavingInstance = std::move(other115.leavingInstance);
+  leavingBornMs = other115.leavingBornMs;
   __isset = other115.__isset;
 }
 JoinReply& JoinReply::operator=(const JoinReply& other116) {
   sequence = other116.sequence;
   retryAfterMs = other116.retryAfterMs;
   records = other116.records;
+  leavingInstance = other116.leavingInstance;
+  leavingBornMs = other116.leavingBornMs;
   __isset = other116.__isset;
   return *this;
 }
@@ -2891,6 +3031,8 @@
   sequence = other117.sequence;
   retryAfterMs = other117.retryAfterMs;
   records = std::move(other117.records);
+  leavingInstance = std::move(other117.leavingInstance);
+  leavingBornMs = other117.leavingBornMs;
   __isset = other117.__isset;
   return *this;
 }
@@ -2900,6 +3042,8 @@
   out << "sequence=" << to_string(sequence);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "leavingInstance="; (__isset.leavingInstance ? (out << to_string(leavingInstance)) : (out << "<null>"));
+  out << ", " << "leavingBornMs="; (__isset.leavingBornMs ? (out << to_string(leavingBornMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -113,7 +113,7 @@
 class HopFrame;
 
 typedef struct _HostRecord__isset {
-  _HostRecord__isset() : host(false), zone(false), serviceName(false), address(false), controlPort(false), hopPort(false), callerPort(false), adminPort(false), incarnation(false), state(false), liveness(false), slots(false), warmupLeftMs(false), linkMegabits(false) {}
+  _HostRecord__isset() : host(false), zone(false), serviceName(false), address(false), controlPort(false), hopPort(false), callerPort(false), adminPort(false), incarnation(false), state(false), liveness(false), slots(false), warmupLeftMs(false), linkMegabits(false), leavingInstance(false), leavingBornMs(false) {}
   bool host :1;
   bool zone :1;
   bool serviceName :1;
@@ -128,6 +128,8 @@
   bool slots :1;
   bool warmupLeftMs :1;
   bool linkMegabits :1;
+  bool leavingInstance :1;
+  bool leavingBornMs :1;
 } _HostRecord__isset;
 
 class HostRecord : public virtual ::apache::thrift::TBase {
@@ -151,7 +153,9 @@
                liveness(static_cast<Liveness::type>(0)),
                slots(0),
                warmupLeftMs(0),
-               linkMegabits(0) {
+               linkMegabits(0),
+               leavingInstance(),
+               leavingBornMs(0) {
   }
 
   virtual ~HostRecord() noexcept;
@@ -177,6 +181,8 @@
   int32_t slots;
   int32_t warmupLeftMs;
   int32_t linkMegabits;
+  std::string leavingInstance;
+  int64_t leavingBornMs;
 
   _HostRecord__isset __isset;
 
@@ -208,6 +214,10 @@
 
   void __set_linkMegabits(const int32_t val);
 
+  void __set_leavingInstance(const std::string& val);
+
+  void __set_leavingBornMs(const int64_t val);
+
   bool operator == (const HostRecord & rhs) const
   {
     if (!(host == rhs.host))
@@ -242,6 +252,14 @@
       return false;
     else if (__isset.linkMegabits && !(linkMegabits == rhs.linkMegabits))
       return false;
+    if (__isset.leavingInstance != rhs.__isset.leavingInstance)
+      return false;
+    else if (__isset.leavingInstance && !(leavingInstance == rhs.leavingInstance))
+      return false;
+    if (__isset.leavingBornMs != rhs.__isset.leavingBornMs)
+      return false;
+    else if (__isset.leavingBornMs && !(leavingBornMs == rhs.leavingBornMs))
+      return false;
     return true;
   }
   bool operator != (const HostRecord &rhs) const {
@@ -1022,9 +1040,11 @@
 std::ostream& operator<<(std::ostream& out, const TableRequest& obj);
 
 typedef struct _TableReply__isset {
-  _TableReply__isset() : buckets(false), records(false) {}
+  _TableReply__isset() : buckets(false), records(false), leavingInstance(false), leavingBornMs(false) {}
   bool buckets :1;
   bool records :1;
+  bool leavingInstance :1;
+  bool leavingBornMs :1;
 } _TableReply__isset;
 
 class TableReply : public virtual ::apache::thrift::TBase {
@@ -1034,12 +1054,16 @@
   TableReply(TableReply&&) noexcept;
   TableReply& operator=(const TableReply&);
   TableReply& operator=(TableReply&&) noexcept;
-  TableReply() noexcept {
+  TableReply() noexcept
+             : leavingInstance(),
+               leavingBornMs(0) {
   }
 
   virtual ~TableReply() noexcept;
   std::vector<int32_t>  buckets;
   std::vector<HostRecord>  records;
+  std::string leavingInstance;
+  int64_t leavingBornMs;
 
   _TableReply__isset __isset;
 
@@ -1047,12 +1071,24 @@
 
   void __set_records(const std::vector<HostRecord> & val);
 
+  void __set_leavingInstance(const std::string& val);
+
+  void __set_leavingBornMs(const int64_t val);
+
   bool operator == (const TableReply & rhs) const
   {
     if (!(buckets == rhs.buckets))
       return false;
     if (!(records == rhs.records))
       return false;
+    if (__isset.leavingInstance != rhs.__isset.leavingInstance)
+      return false;
+    else if (__isset.leavingInstance && !(leavingInstance == rhs.leavingInstance))
+      return false;
+    if (__isset.leavingBornMs != rhs.__isset.leavingBornMs)
+      return false;
+    else if (__isset.leavingBornMs && !(leavingBornMs == rhs.leavingBornMs))
+      return false;
     return true;
   }
   bool operator != (const TableReply &rhs) const {
@@ -1117,10 +1153,12 @@
 std::ostream& operator<<(std::ostream& out, const Join& obj);
 
 typedef struct _JoinReply__isset {
-  _JoinReply__isset() : sequence(false), retryAfterMs(false), records(false) {}
+  _JoinReply__isset() : sequence(false), retryAfterMs(false), records(false), leavingInstance(false), leavingBornMs(false) {}
   bool sequence :1;
   bool retryAfterMs :1;
   bool records :1;
+  bool leavingInstance :1;
+  bool leavingBornMs :1;
 } _JoinReply__isset;
 
 class JoinReply : public virtual ::apache::thrift::TBase {
@@ -1132,13 +1170,17 @@
   JoinReply& operator=(JoinReply&&) noexcept;
   JoinReply() noexcept
             : sequence(0),
-              retryAfterMs(0) {
+              retryAfterMs(0),
+              leavingInstance(),
+              leavingBornMs(0) {
   }
 
   virtual ~JoinReply() noexcept;
   int64_t sequence;
   int32_t retryAfterMs;
   std::vector<HostRecord>  records;
+  std::string leavingInstance;
+  int64_t leavingBornMs;
 
   _JoinReply__isset __isset;
 
@@ -1148,6 +1190,10 @@
 
   void __set_records(const std::vector<HostRecord> & val);
 
+  void __set_leavingInstance(const std::string& val);
+
+  void __set_leavingBornMs(const int64_t val);
+
   bool operator == (const JoinReply & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -1156,6 +1202,14 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (__isset.leavingInstance != rhs.__isset.leavingInstance)
+      return false;
+    else if (__isset.leavingInstance && !(leavingInstance == rhs.leavingInstance))
+      return false;
+    if (__isset.leavingBornMs != rhs.__isset.leavingBornMs)
+      return false;
+    else if (__isset.leavingBornMs && !(leavingBornMs == rhs.leavingBornMs))
+      return false;
     return true;
   }
   bool operator != (const JoinReply &rhs) const {
--- a/include/fulmarledge/backendlife.h
+++ b/include/fulmarledge/backendlife.h
@@ -36,6 +36,10 @@
 public:
     NoticeEffect apply(const BackendNotice &notice, TimeMs now);
 
+    /// Takes a process for one that leaves, also one that was not heard yet.
+    /// @return true when `current()` changed
+    bool retire(std::string_view instance, std::int64_t bornMs);
+
     /// Newest announcement. The state stays Draining once a process has said that it leaves.
     const BackendNotice &current() const
     {
@@ -51,11 +55,18 @@
     }
 
 private:
+    /// A process that left without having been heard before.
+    struct Left {
+        std::string instance;
+        TimeMs until = 0; ///< its announcements are ignored so long
+    };
+
     bool isOfEarlierProcess(const BackendNotice &notice, TimeMs now) const;
-    void retire(const BackendNotice &notice);
+    void keepRetired(const BackendNotice &notice);
 
     BackendNotice m_current;
     TimeMs m_lastHeard = 0;
+    std::deque<Left> m_left;
     std::deque<BackendNotice> m_retired; ///< processes that were replaced or have left
 };
 
--- a/include/fulmarledge/controlnode.h
+++ b/include/fulmarledge/controlnode.h
@@ -30,6 +30,8 @@
     virtual void onSnapshot(std::shared_ptr<const Snapshot> snapshot) = 0;
     /// Whether callers may be served. `reason` tells why not.
     virtual void onReadiness(bool ready, Reason reason) = 0;
+    /// Another member remembers this process of the local backend server as leaving.
+    virtual void onBackendLeaving(const LeavingBackend &leaving) = 0;
 };
 
 /// One change of state, for status reports.
@@ -55,6 +57,7 @@
     /// Expected every 50 ms.
     void onTick(TimeMs now, std::int64_t wallClockMs);
     void onMessage(TimeMs now, const wire::Envelope &message);
+    void setLeavingBackend(TimeMs now, std::string_view instance, std::int64_t bornMs);
     /// @param warmupLeft how much longer the backend server stays slow after its start, if it says so
     void setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName, std::int32_t slots,
                        std::optional<TimeMs> warmupLeft = {});
--- a/include/fulmarledge/membership.h
+++ b/include/fulmarledge/membership.h
@@ -47,6 +47,12 @@
     std::size_t maxMembers = 65536; ///< records beyond this number are refused
 };
 
+/// A process of a backend server that has said that it leaves.
+struct LeavingBackend {
+    std::string instance;
+    std::int64_t bornMs = 0; ///< its start, milliseconds since 1970
+};
+
 /// The host table: who is in the fleet, in which state, and who answers. Single-threaded, no I/O.
 ///
 /// The transport fills `Envelope::header` and calls fillUpdates() for each datagram that it sends. Its send() may do
@@ -70,6 +76,11 @@
     /// @param warmupLeft how much longer the backend server stays slow after its start, if it says so
     void setLocalState(TimeMs now, wire::HostState::type state, std::string_view serviceName, std::int32_t slots,
                        std::optional<TimeMs> warmupLeft = {});
+    /// Tells the others that a process of the local backend server leaves, so that they remember it for this host's
+    /// next process. An empty name ends this.
+    void setLeavingBackend(TimeMs now, std::string_view instance, std::int64_t bornMs);
+    /// A process of the local backend server that another member remembers as leaving, once.
+    std::optional<LeavingBackend> takeRemembered();
     /// Announces that this host is about to exit. Later calls have no effect.
     void leave(TimeMs now);
     /// Treats the table as stale until another member has answered.
--- a/src/core/backendlife.cpp
+++ b/src/core/backendlife.cpp
@@ -12,6 +12,9 @@
 /// A process that was heard within this time is taken for alive against one that claims an earlier start. Several
 /// announcement periods.
 constexpr TimeMs kAliveMs = 5000;
+/// How long announcements of a process that left are expected after its last one. They are late by seconds. Bounded,
+/// because the last announcement does not state the start and a later process may have the same id.
+constexpr TimeMs kLateMs = 8000;
 
 } // namespace
 
@@ -30,20 +33,48 @@
     return notice.instance == m_current.instance || now - m_lastHeard < kAliveMs;
 }
 
-void BackendLife::retire(const BackendNotice &notice)
+void BackendLife::keepRetired(const BackendNotice &notice)
 {
+    const auto isSame = [&](const BackendNotice &retired) {
+        return retired.instance == notice.instance && retired.bornMs == notice.bornMs;
+    };
+    if (std::any_of(m_retired.begin(), m_retired.end(), isSame)) {
+        return;
+    }
     m_retired.push_back(notice);
     if (m_retired.size() > kMaxRetired) {
         m_retired.pop_front();
     }
 }
 
+bool BackendLife::retire(std::string_view instance, std::int64_t bornMs)
+{
+    BackendNotice notice;
+    notice.instance = instance;
+    notice.bornMs = bornMs;
+    keepRetired(notice);
+    if (m_current.instance != instance || m_current.bornMs > bornMs || m_current.leaves) {
+        return false;
+    }
+    m_current.leaves = true;
+    m_current.state = wire::HostState::Draining;
+    return true;
+}
+
 NoticeEffect BackendLife::apply(const BackendNotice &notice, TimeMs now)
 {
     const bool sameProcess
         = notice.instance == m_current.instance && (notice.bornMs == m_current.bornMs || notice.leaves);
     if (notice.leaves) {
-        if (!sameProcess || m_current.leaves) {
+        if (!sameProcess) {
+            // A node that was restarted hears this before any earlier announcement that is still on its way.
+            m_left.push_back({notice.instance, now + kLateMs});
+            if (m_left.size() > kMaxRetired) {
+                m_left.pop_front();
+            }
+            return NoticeEffect::Stale;
+        }
+        if (m_current.leaves) {
             return NoticeEffect::Stale;
         }
         m_current.leaves = true;
@@ -51,12 +82,15 @@
         m_lastHeard = now;
         return NoticeEffect::Applied;
     }
-    if (isOfEarlierProcess(notice, now)) {
+    const bool hasLeft = std::any_of(m_left.begin(), m_left.end(), [&](const Left &left) {
+        return left.instance == notice.instance && now < left.until;
+    });
+    if (hasLeft || isOfEarlierProcess(notice, now)) {
         return NoticeEffect::Stale;
     }
     if (!sameProcess) {
         if (isKnown()) {
-            retire(m_current);
+            keepRetired(m_current);
         }
         m_current = notice;
         m_lastHeard = now;
--- a/src/core/contacts.cpp
+++ b/src/core/contacts.cpp
@@ -139,6 +139,7 @@
             = static_cast<std::int32_t>(kMinRetryMs + random.below(static_cast<std::uint64_t>(wait)));
     } else {
         metrics.count("membership_joins", "answered", 1);
+        tellLeaving(message.header.host, reply.joinReply);
         reply.joinReply.records.push_back(self());
         const std::span<const std::uint32_t> live = table.live();
         const std::size_t first = live.empty() ? 0 : random.below(live.size());
@@ -181,6 +182,7 @@
     for (const wire::HostRecord &record : message.joinReply.records) {
         merge(record, RecordSource::Table);
     }
+    takeLeaving(message.joinReply);
     markJoined(answered.host);
     syncing = true;
 }
--- a/src/core/controlnode.cpp
+++ b/src/core/controlnode.cpp
@@ -76,6 +76,9 @@
 void ControlNode::onMessage(TimeMs now, const wire::Envelope &message)
 {
     m_membership.onMessage(now, message);
+    if (const auto remembered = m_membership.takeRemembered()) {
+        m_listener.onBackendLeaving(*remembered);
+    }
     m_spread.onMessage(now, message);
     if (m_manifestChanged) {
         updateSnapshot(now);
@@ -89,6 +92,11 @@
     m_membership.setLocalState(now, state, serviceName, slots, warmupLeft);
 }
 
+void ControlNode::setLeavingBackend(TimeMs now, std::string_view instance, std::int64_t bornMs)
+{
+    m_membership.setLeavingBackend(now, instance, bornMs);
+}
+
 void ControlNode::leave(TimeMs now)
 {
     m_membership.leave(now);
--- a/src/core/hosttable.cpp
+++ b/src/core/hosttable.cpp
@@ -73,6 +73,10 @@
     if (record.__isset.linkMegabits) {
         hash = XXH3_64bits_withSeed(&record.linkMegabits, sizeof(record.linkMegabits), hash);
     }
+    if (record.__isset.leavingInstance) {
+        hash = XXH3_64bits_withSeed(&record.leavingBornMs, sizeof(record.leavingBornMs), hash);
+        hash = XXH3_64bits_withSeed(record.leavingInstance.data(), record.leavingInstance.size(), hash);
+    }
     for (const std::string *text : {&record.zone, &record.serviceName, &record.address}) {
         hash = XXH3_64bits_withSeed(text->data(), text->size(), hash);
     }
@@ -109,6 +113,12 @@
     if (record.__isset.linkMegabits) {
         size += 1 + signedSize(record.linkMegabits);
     }
+    if (record.__isset.leavingInstance) {
+        size += 1 + varintSize(record.leavingInstance.size()) + record.leavingInstance.size();
+    }
+    if (record.__isset.leavingBornMs) {
+        size += 1 + signedSize(record.leavingBornMs);
+    }
     return size;
 }
 
@@ -123,7 +133,7 @@
         && isPort(record.callerPort) && isPort(record.adminPort) && record.incarnation > 0
         && record.incarnation < kMaxIncarnation && state >= wire::HostState::Starting && state <= wire::HostState::Left
         && liveness >= wire::Liveness::Alive && liveness <= wire::Liveness::Dead && record.slots >= 0
-        && record.warmupLeftMs >= 0 && record.linkMegabits >= 0;
+        && record.warmupLeftMs >= 0 && record.linkMegabits >= 0 && record.leavingInstance.size() <= kMaxNameLength;
 }
 
 HostTable::HostTable(const wire::HostRecord &self)
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -1,6 +1,7 @@
 #include "membership_p.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmarledge {
 
@@ -246,6 +247,30 @@
     m_d->burst(m_d->settings.ownFanout);
 }
 
+void Membership::setLeavingBackend(TimeMs now, std::string_view instance, std::int64_t bornMs)
+{
+    m_d->now = now;
+    wire::HostRecord record = m_d->self();
+    if (record.leavingInstance == instance && (instance.empty() || record.leavingBornMs == bornMs)) {
+        return;
+    }
+    record.leavingInstance = instance;
+    record.leavingBornMs = instance.empty() ? 0 : bornMs;
+    record.__isset.leavingInstance = !instance.empty();
+    record.__isset.leavingBornMs = !instance.empty();
+    if (!m_d->started) {
+        m_d->table.set(record);
+        return;
+    }
+    m_d->setOwn(std::move(record));
+    m_d->burst(m_d->settings.ownFanout);
+}
+
+std::optional<LeavingBackend> Membership::takeRemembered()
+{
+    return std::exchange(m_d->remembered, std::nullopt);
+}
+
 void Membership::leave(TimeMs now)
 {
     m_d->now = now;
--- a/src/core/membership_p.h
+++ b/src/core/membership_p.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -131,6 +132,23 @@
     // merge.cpp: records
     void merge(const wire::HostRecord &received, RecordSource source);
     void apply(const wire::HostRecord &record, bool gossips = true);
+    void rememberLeaving(const wire::HostRecord &record);
+    /// Adds to an answer for `host` what is known of its leaving backend server.
+    template <typename Reply>
+    void tellLeaving(const std::string &host, Reply &reply) const
+    {
+        if (const auto known = leaving.find(host); known != leaving.end()) {
+            reply.__set_leavingInstance(known->second.instance);
+            reply.__set_leavingBornMs(known->second.bornMs);
+        }
+    }
+    template <typename Reply>
+    void takeLeaving(const Reply &reply)
+    {
+        if (reply.__isset.leavingInstance) {
+            remembered = LeavingBackend{reply.leavingInstance, reply.leavingBornMs};
+        }
+    }
     void onOwnRecord(const wire::HostRecord &record);
     void setLiveness(std::uint32_t slot, wire::Liveness::type liveness);
     void announce(std::uint32_t slot);
@@ -219,6 +237,10 @@
     int health = 0; ///< 0 is good
     RateLimit challenges;
 
+    /// By host: what a host's own next process has to know about its backend server.
+    std::map<std::string, LeavingBackend, std::less<>> leaving;
+    std::optional<LeavingBackend> remembered; ///< of the own host, to be taken
+
     bool syncing = false;
     TimeMs nextSyncAt = 0;
     TimeMs differenceAt = 0; ///< when a digest differed that is not yet settled; 0 for none
--- a/src/core/merge.cpp
+++ b/src/core/merge.cpp
@@ -11,6 +11,8 @@
 // Probes of tombstones caused by one member that came back. Above 1, so that a healed zone is found as a whole.
 constexpr int kProbesPerRevival = 4;
 constexpr int kMaxRevivalProbes = 64;
+/// Leaving backend servers remembered, about 100 bytes each. Several data centres' worth of hosts at the two-year size.
+constexpr std::size_t kMaxLeaving = 4096;
 
 bool isUrgent(const wire::HostRecord &record)
 {
@@ -55,8 +57,21 @@
     }
 }
 
+void Membership::Private::rememberLeaving(const wire::HostRecord &record)
+{
+    if (!record.__isset.leavingInstance) {
+        return;
+    }
+    if (leaving.size() >= kMaxLeaving && !leaving.contains(record.host)) {
+        leaving.erase(leaving.begin());
+        metrics.count("membership_leaving_forgotten", "", 1);
+    }
+    leaving.insert_or_assign(record.host, LeavingBackend{record.leavingInstance, record.leavingBornMs});
+}
+
 void Membership::Private::apply(const wire::HostRecord &record, bool gossips)
 {
+    rememberLeaving(record);
     const std::uint32_t known = table.find(memberHash(record.host));
     const bool wasLive = known != kNoSlot && isLive(table.record(known));
     const bool wasDead = known != kNoSlot && table.record(known).liveness == wire::Liveness::Dead;
--- a/src/core/tablesync.cpp
+++ b/src/core/tablesync.cpp
@@ -82,6 +82,7 @@
     }
     wire::Envelope reply;
     reply.__isset.tableReply = true;
+    tellLeaving(message.header.host, reply.tableReply);
     const std::size_t first = random.below(asked.size());
     for (std::size_t i = 0; i < asked.size(); ++i) {
         const wire::Bucket &bucket = asked[(first + i) % asked.size()];
@@ -107,6 +108,7 @@
         metrics.count("membership_records_refused", "oversized-reply", 1);
         return;
     }
+    takeLeaving(reply);
     std::unordered_map<std::uint64_t, const wire::HostRecord *> received;
     for (const wire::HostRecord &record : reply.records) {
         received.emplace(memberHash(record.host), &record);
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -147,6 +147,15 @@
         }
     }
 
+    void onBackendLeaving(const LeavingBackend &leaving) override
+    {
+        logEvent("backend-remembered-leaving",
+                 "instance=" + leaving.instance + " born=" + std::to_string(leaving.bornMs));
+        if (m_life.retire(leaving.instance, leaving.bornMs)) {
+            followLife(true, monotonicMs());
+        }
+    }
+
     /// Logs a change of state with the running version.
     void logEvent(std::string_view name, const std::string &detail)
     {
@@ -270,6 +279,8 @@
                      + " born=" + std::to_string(current.bornMs) + " sequence=" + std::to_string(current.sequence)
                      + (current.leaves ? " leaves" : ""));
         applyBackend(now);
+        const bool leaves = current.state == wire::HostState::Draining;
+        m_control.setLeavingBackend(now, leaves ? current.instance : "", current.bornMs);
     }
 
     void onReadinessCall(const HttpCall &call)
--- a/tests/core_backendlife.cpp
+++ b/tests/core_backendlife.cpp
@@ -77,3 +77,34 @@
     CHECK(life.apply(notice("b", 0, 1), 30) == NoticeEffect::Applied);
     CHECK(life.apply(notice("a", 1000, 10), 40) == NoticeEffect::Stale);
 }
+
+// Guards against a late announcement that brings back a process whose leaving was acknowledged before the node was
+// restarted.
+TEST_CASE("a process that others remember as leaving is not taken back")
+{
+    BackendLife before;
+    CHECK_FALSE(before.retire("a", 1000));
+    CHECK(before.apply(notice("a", 1000, 19), 0) == NoticeEffect::Stale);
+    CHECK_FALSE(before.isKnown());
+    // The same id with a later start is a new process.
+    CHECK(before.apply(notice("a", 2000, 1), 10) == NoticeEffect::Applied);
+    BackendLife after;
+    CHECK(after.apply(notice("a", 1000, 19), 0) == NoticeEffect::Applied);
+    CHECK(after.retire("a", 1000));
+    CHECK(after.current().state == wire::HostState::Draining);
+    CHECK(after.apply(notice("a", 1000, 20), 10) == NoticeEffect::Stale);
+    CHECK_FALSE(after.retire("b", 1000));
+}
+
+// Guards against a late announcement that brings back a process whose last announcement was the first that a restarted
+// node heard (adebayo-mesh, hunt-594a-19).
+TEST_CASE("a process that left before it was known is not taken back")
+{
+    BackendLife life;
+    CHECK(life.apply(leave("a"), 0) == NoticeEffect::Stale);
+    CHECK(life.apply(notice("a", 1000, 19), 1200) == NoticeEffect::Stale);
+    CHECK_FALSE(life.isKnown());
+    CHECK(life.apply(notice("b", 3000, 1), 1300) == NoticeEffect::Applied);
+    // A later process with the same id.
+    CHECK(life.apply(notice("a", 9000, 1), 9000) == NoticeEffect::Applied);
+}
--- a/tests/core_controlnode.cpp
+++ b/tests/core_controlnode.cpp
@@ -83,6 +83,9 @@
             ready = isReady;
             reason = why;
         }
+        void onBackendLeaving(const LeavingBackend &) override
+        {
+        }
         ControlFleet &fleet;
         SeededRandom random;
         CountingMetrics metrics;
@@ -168,6 +171,7 @@
 public:
     MAKE_MOCK1(onSnapshot, void(std::shared_ptr<const Snapshot>), override);
     MAKE_MOCK2(onReadiness, void(bool, Reason), override);
+    MAKE_MOCK1(onBackendLeaving, void(const LeavingBackend &), override);
 };
 
 class MockTransport : public PeerTransport
--- a/tests/core_membership.cpp
+++ b/tests/core_membership.cpp
@@ -79,6 +79,10 @@
         record.warmupLeftMs = 30 * slots;
         record.__isset.linkMegabits = slots > 0;
         record.linkMegabits = slots;
+        record.__isset.leavingInstance = slots > 0;
+        record.leavingInstance = "i-7f3a91c2";
+        record.__isset.leavingBornMs = slots > 0;
+        record.leavingBornMs = 1788280904923;
         wire::Envelope message;
         const std::size_t empty = encodedBytes(message);
         message.updates = {record};
--- a/tests/core_membershipcontacts.cpp
+++ b/tests/core_membershipcontacts.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
+#include <optional>
 
 #include "membershipfleet.h"
 
@@ -174,6 +175,38 @@
     }
 }
 
+// Guards against a drain that is forgotten with the process of the node that acknowledged it.
+TEST_CASE("the others remember a leaving backend server for the next process of its host")
+{
+    for (const std::uint64_t seed : seeds(5)) {
+        INFO("seed " << seed);
+        MembershipSettings settings;
+        settings.plannedMembers = 13;
+        Fleet fleet(seed, settings);
+        fleet.addMany(13);
+        fleet.startAll();
+        REQUIRE(fleet.runUntil([&] { return fleet.nodes.front()->core->liveCount() == 13; }, 20000));
+        Fleet::Node &host = *fleet.nodes.front();
+        host.core->setLocalState(fleet.scheduler.now, wire::HostState::Draining, "bookings", 12);
+        host.core->setLeavingBackend(fleet.scheduler.now, "i-1", 1000);
+        // The stop follows the announcement by 150 ms, as in the hunt that found this.
+        fleet.run(150);
+        fleet.kill(host);
+        fleet.run(700);
+        fleet.start(host);
+        std::optional<LeavingBackend> remembered;
+        CHECK(fleet.runUntil(
+            [&] {
+                remembered = host.core->takeRemembered();
+                return remembered.has_value();
+            },
+            20000));
+        REQUIRE(remembered);
+        CHECK(remembered->instance == "i-1");
+        CHECK(remembered->bornMs == 1000);
+    }
+}
+
 // Guards against a host that restarts while the platform is away and stays alone until it returns: it knows nobody, and
 // the others have removed it after its planned stop.
 TEST_CASE("a host that left and restarts while the platform is away is found by the others")
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -23,6 +23,10 @@
   13: optional i32 warmupLeftMs
   // Rate of the host's link in Mbit/s, rounded down. Not set when it is not known.
   14: optional i32 linkMegabits
+  // Process of the backend server that has said that it leaves, with its start in milliseconds since 1970. Not set
+  // while none is leaving.
+  15: optional string leavingInstance
+  16: optional i64 leavingBornMs
 }
 
 // Sender of a message. Each message also advertises the manifest version that the sender runs.
@@ -73,10 +77,23 @@
 
 struct Bucket { 1: i32 index, 2: i64 hash }
 struct TableRequest { 1: list<Bucket> buckets }
-struct TableReply { 1: list<i32> buckets, 2: list<HostRecord> records }
+struct TableReply {
+  1: list<i32> buckets
+  2: list<HostRecord> records
+  // As in JoinReply, of the host that asked.
+  3: optional string leavingInstance
+  4: optional i64 leavingBornMs
+}
 
 struct Join { 1: i64 sequence }
-struct JoinReply { 1: i64 sequence, 2: i32 retryAfterMs, 3: list<HostRecord> records }
+struct JoinReply {
+  1: i64 sequence
+  2: i32 retryAfterMs
+  3: list<HostRecord> records
+  // Last process of the joining host's backend server that was known to leave.
+  4: optional string leavingInstance
+  5: optional i64 leavingBornMs
+}
 
 // Exactly one of the optional messages is set, or none when only records are carried.
 struct Envelope {
