--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -161,9 +161,9 @@
   this->slots = val;
 }
 
-void HostRecord::__set_warmupLeftMs(const int32_t val) {
-  this->warmupLeftMs = val;
-__isset.warmupLeftMs = true;
+void HostRecord::__set_warmupMs(const int32_t val) {
+  this->warmupMs = val;
+__isset.warmupMs = true;
 }
 
 void HostRecord::__set_linkMegabits(const int32_t val) {
@@ -310,8 +310,8 @@
         break;
       case 13:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->warmupLeftMs);
-          this->__isset.warmupLeftMs = true;
+          xfer += iprot->readI32(this->warmupMs);
+          this->__isset.warmupMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -405,9 +405,9 @@
   xfer += oprot->writeI32(this->slots);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.warmupLeftMs) {
-    xfer += oprot->writeFieldBegin("warmupLeftMs", ::apache::thrift::protocol::T_I32, 13);
-    xfer += oprot->writeI32(this->warmupLeftMs);
+  if (this->__isset.warmupMs) {
+    xfer += oprot->writeFieldBegin("warmupMs", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->warmupMs);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.linkMegabits) {
@@ -444,7 +444,7 @@
   swap(a.state, b.state);
   swap(a.liveness, b.liveness);
   swap(a.slots, b.slots);
-  swap(a.warmupLeftMs, b.warmupLeftMs);
+  swap(a.warmupMs, b.warmupMs);
   swap(a.linkMegabits, b.linkMegabits);
   swap(a.leavingInstance, b.leavingInstance);
   swap(a.leavingBornMs, b.leavingBornMs);
@@ -464,7 +464,7 @@
   state = other2.state;
   liveness = other2.liveness;
   slots = other2.slots;
-  warmupLeftMs = other2.warmupLeftMs;
+  warmupMs = other2.warmupMs;
   linkMegabits = other2.linkMegabits;
   leavingInstance = other2.leavingInstance;
   leavingBornMs = other2.leavingBornMs;
@@ -483,7 +483,7 @@
   state = other3.state;
   liveness = other3.liveness;
   slots = other3.slots;
-  warmupLeftMs = other3.warmupLeftMs;
+  warmupMs = other3.warmupMs;
   linkMegabits = other3.linkMegabits;
   leavingInstance = std::move(other3.leavingInstance);
   leavingBornMs = other3.leavingBornMs;
@@ -502,7 +502,7 @@
   state = other4.state;
   liveness = other4.liveness;
   slots = other4.slots;
-  warmupLeftMs = other4.warmupLeftMs;
+  warmupMs = other4.warmupMs;
   linkMegabits = other4.linkMegabits;
   leavingInstance = other4.leavingInstance;
   leavingBornMs = other4.leavingBornMs;
@@ -522,7 +522,7 @@
   state = other5.state;
   liveness = other5.liveness;
   slots = other5.slots;
-  warmupLeftMs = other5.warmupLeftMs;
+  warmupMs = other5.warmupMs;
   linkMegabits = other5.linkMegabits;
   leavingInstance = std::move(other5.leavingInstance);
   leavingBornMs = other5.leavingBornMs;
@@ -544,7 +544,7 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "liveness=" << to_string(liveness);
   out << ", " << "slots=" << to_string(slots);
-  out << ", " << "warmupLeftMs="; (__isset.warmupLeftMs ? (out << to_string(warmupLeftMs)) : (out << "<null>"));
+  out << ", " << "warmupMs="; (__isset.warmupMs ? (out << to_string(warmupMs)) : (out << "<null>"));
   out << ", " << "linkMegabits="; (__isset.linkMegabits ? (out << to_string(linkMegabits)) : (out << "<null>"));
   out << ", " << "leavingInstance="; (__isset.leavingInstance ? (out << to_string(leavingInstance)) : (out << "<null>"));
   out << ", " << "leavingBornMs="; (__isset.leavingBornMs ? (out << to_string(leavingBornMs)) : (out << "<null>"));
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -113,7 +113,7 @@
 class HopFrame;
 
 typedef struct _HostRecord__isset {
-  _HostRecord__isset() : host(false), zone(false), serviceName(false), address(false), controlPort(false), hopPort(false), callerPort(false), adminPort(false), incarnation(false), state(false), liveness(false), slots(false), warmupLeftMs(false), linkMegabits(false), leavingInstance(false), leavingBornMs(false) {}
+  _HostRecord__isset() : host(false), zone(false), serviceName(false), address(false), controlPort(false), hopPort(false), callerPort(false), adminPort(false), incarnation(false), state(false), liveness(false), slots(false), warmupMs(false), linkMegabits(false), leavingInstance(false), leavingBornMs(false) {}
   bool host :1;
   bool zone :1;
   bool serviceName :1;
@@ -126,7 +126,7 @@
   bool state :1;
   bool liveness :1;
   bool slots :1;
-  bool warmupLeftMs :1;
+  bool warmupMs :1;
   bool linkMegabits :1;
   bool leavingInstance :1;
   bool leavingBornMs :1;
@@ -152,7 +152,7 @@
                state(static_cast<HostState::type>(0)),
                liveness(static_cast<Liveness::type>(0)),
                slots(0),
-               warmupLeftMs(0),
+               warmupMs(0),
                linkMegabits(0),
                leavingInstance(),
                leavingBornMs(0) {
@@ -179,7 +179,7 @@
    */
   Liveness::type liveness;
   int32_t slots;
-  int32_t warmupLeftMs;
+  int32_t warmupMs;
   int32_t linkMegabits;
   std::string leavingInstance;
   int64_t leavingBornMs;
@@ -210,7 +210,7 @@
 
   void __set_slots(const int32_t val);
 
-  void __set_warmupLeftMs(const int32_t val);
+  void __set_warmupMs(const int32_t val);
 
   void __set_linkMegabits(const int32_t val);
 
@@ -244,9 +244,9 @@
       return false;
     if (!(slots == rhs.slots))
       return false;
-    if (__isset.warmupLeftMs != rhs.__isset.warmupLeftMs)
+    if (__isset.warmupMs != rhs.__isset.warmupMs)
       return false;
-    else if (__isset.warmupLeftMs && !(warmupLeftMs == rhs.warmupLeftMs))
+    else if (__isset.warmupMs && !(warmupMs == rhs.warmupMs))
       return false;
     if (__isset.linkMegabits != rhs.__isset.linkMegabits)
       return false;
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -74,7 +74,7 @@
         known.serving = false;
     }
     const bool serving = isUsable(backend);
-    const TimeMs warmup = backend.record ? backend.record->warmupLeftMs : 0;
+    const TimeMs warmup = backend.record ? backend.record->warmupMs : 0;
     if (serving && (!known.serving || warmup > known.warmup)) {
         HostState &state = *known.state;
         state.servingSince = now - m_config.slowStartMs + (warm ? 0 : slowStartLeft(*backend.record));
@@ -94,8 +94,7 @@
 
 TimeMs Balancer::slowStartLeft(const wire::HostRecord &record) const
 {
-    return record.__isset.warmupLeftMs ? std::min<TimeMs>(record.warmupLeftMs, m_config.slowStartMs)
-                                       : m_config.slowStartMs;
+    return record.__isset.warmupMs ? std::min<TimeMs>(record.warmupMs, m_config.slowStartMs) : m_config.slowStartMs;
 }
 
 void Balancer::forget(TimeMs now)
--- a/src/core/hosttable.cpp
+++ b/src/core/hosttable.cpp
@@ -67,8 +67,8 @@
     const std::array<std::int32_t, 6> numbers{record.controlPort, record.hopPort, record.callerPort,
                                               record.adminPort,   record.state,   record.slots};
     std::uint64_t hash = XXH3_64bits(numbers.data(), sizeof(numbers));
-    if (record.__isset.warmupLeftMs) {
-        hash = XXH3_64bits_withSeed(&record.warmupLeftMs, sizeof(record.warmupLeftMs), hash);
+    if (record.__isset.warmupMs) {
+        hash = XXH3_64bits_withSeed(&record.warmupMs, sizeof(record.warmupMs), hash);
     }
     if (record.__isset.linkMegabits) {
         hash = XXH3_64bits_withSeed(&record.linkMegabits, sizeof(record.linkMegabits), hash);
@@ -107,8 +107,8 @@
           std::int64_t{record.slots}}) {
         size += signedSize(number);
     }
-    if (record.__isset.warmupLeftMs) {
-        size += 1 + signedSize(record.warmupLeftMs);
+    if (record.__isset.warmupMs) {
+        size += 1 + signedSize(record.warmupMs);
     }
     if (record.__isset.linkMegabits) {
         size += 1 + signedSize(record.linkMegabits);
@@ -133,7 +133,7 @@
         && isPort(record.callerPort) && isPort(record.adminPort) && record.incarnation > 0
         && record.incarnation < kMaxIncarnation && state >= wire::HostState::Starting && state <= wire::HostState::Left
         && liveness >= wire::Liveness::Alive && liveness <= wire::Liveness::Dead && record.slots >= 0
-        && record.warmupLeftMs >= 0 && record.linkMegabits >= 0 && record.leavingInstance.size() <= kMaxNameLength;
+        && record.warmupMs >= 0 && record.linkMegabits >= 0 && record.leavingInstance.size() <= kMaxNameLength;
 }
 
 HostTable::HostTable(const wire::HostRecord &self)
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -230,15 +230,15 @@
     m_d->now = now;
     wire::HostRecord record = m_d->self();
     // The warm-up of one process only shrinks. A longer one is that of a new process.
-    const bool restarted = warmupLeft.value_or(0) > record.warmupLeftMs;
+    const bool restarted = warmupLeft.value_or(0) > record.warmupMs;
     if (record.state == state && record.serviceName == serviceName && record.slots == slots && !restarted) {
         return;
     }
     record.state = state;
     record.serviceName = serviceName;
     record.slots = slots;
-    record.__isset.warmupLeftMs = warmupLeft.has_value();
-    record.warmupLeftMs = warmupLeft ? static_cast<std::int32_t>(std::clamp<TimeMs>(*warmupLeft, 0, kMaxWarmupMs)) : 0;
+    record.__isset.warmupMs = warmupLeft.has_value();
+    record.warmupMs = warmupLeft ? static_cast<std::int32_t>(std::clamp<TimeMs>(*warmupLeft, 0, kMaxWarmupMs)) : 0;
     if (!m_d->started) {
         m_d->table.set(record);
         return;
--- a/tests/core_balancer.cpp
+++ b/tests/core_balancer.cpp
@@ -172,16 +172,16 @@
     f.records[1].liveness = wire::Liveness::Dead;
     f.attach();
     f.records[1].liveness = wire::Liveness::Alive;
-    f.records[1].__set_warmupLeftMs(0);
+    f.records[1].__set_warmupMs(0);
     f.attach();
     CHECK(share() > 2000 * 2 / 5);
-    f.records[1].__set_warmupLeftMs(4000);
+    f.records[1].__set_warmupMs(4000);
     f.attach();
     const int atFirst = share();
     CHECK(atFirst > 2000 / 4);
     CHECK(atFirst < 2000 * 2 / 5 + 40);
     f.now += 4000;
-    f.records[1].__set_warmupLeftMs(1000);
+    f.records[1].__set_warmupMs(1000);
     f.attach();
     CHECK(share() > 2000 * 2 / 5);
 }
--- a/tests/core_membership.cpp
+++ b/tests/core_membership.cpp
@@ -75,8 +75,8 @@
     wire::HostRecord record = host("ikeja-bookings-1", 1700000000000);
     for (const std::int32_t slots : {0, 12, 70, 100000}) {
         record.slots = slots;
-        record.__isset.warmupLeftMs = slots > 0;
-        record.warmupLeftMs = 30 * slots;
+        record.__isset.warmupMs = slots > 0;
+        record.warmupMs = 30 * slots;
         record.__isset.linkMegabits = slots > 0;
         record.linkMegabits = slots;
         record.__isset.leavingInstance = slots > 0;
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -20,7 +20,7 @@
   12: i32 slots
   // How much longer the backend server stays slow after its start, in ms from the last change of this record. Not set
   // when it does not say.
-  13: optional i32 warmupLeftMs
+  13: optional i32 warmupMs
   // Rate of the host's link in Mbit/s, rounded down. Not set when it is not known.
   14: optional i32 linkMegabits
   // Process of the backend server that has said that it leaves, with its start in milliseconds since 1970. Not set
