Log what a host knows about its own lag: pulls, their ends, refutations and unanswered probes

Added: behind, caught-up, pull, pull-unanswered, pull-refused, delta-without-base, refuted, probe-unanswered and probe-late (a probe is unanswered for good or answered late), the source of an activated version, a histogram of probe times and a counter of datagrams that the kernel refused.

--- a/src/adapters/peersocket.cpp
+++ b/src/adapters/peersocket.cpp
@@ -1,6 +1,7 @@
 #include "peersocket.h"
 
 #include <array>
+#include <cerrno>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -39,6 +40,7 @@
         {set.tableReply, "table-reply"},
         {set.join, "join"},
         {set.joinReply, "join-reply"},
+        {set.pullRefusal, "pull-refusal"},
     };
     for (const auto &[present, name] : names) {
         if (present) {
@@ -97,9 +99,12 @@
     }
     const auto target = toSockaddr(to);
     if (target) {
-        // A lost datagram is repaired by the protocol, so a full send buffer is not an error.
-        ::sendto(m_udp.fd(), payload.data(), payload.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr *>(&*target),
-                 sizeof(*target));
+        // The protocol repairs a lost datagram, so a full send buffer is counted and no error.
+        const ssize_t sent = ::sendto(m_udp.fd(), payload.data(), payload.size(), MSG_NOSIGNAL,
+                                      reinterpret_cast<const sockaddr *>(&*target), sizeof(*target));
+        if (sent < 0) {
+            m_metrics.count("control-datagrams-dropped", errno == EAGAIN ? "buffer-full" : "send-error", 1);
+        }
     }
 }
 
--- a/src/core/merge.cpp
+++ b/src/core/merge.cpp
@@ -113,6 +113,7 @@
     }
     if (record.liveness != wire::Liveness::Alive) {
         metrics.count("membership_refutations", "", 1);
+        log.event("refuted", record.liveness == wire::Liveness::Dead ? "said=dead" : "said=suspect");
         changeHealth(1);
     }
     wire::HostRecord raised = own;
--- a/src/core/probe.cpp
+++ b/src/core/probe.cpp
@@ -101,6 +101,9 @@
 {
     probe.failed = true;
     metrics.count("membership_probe_failures", "", 1);
+    log.event("probe-unanswered",
+              table.record(table.find(probe.target)).host + " waited_ms=" + std::to_string(now - probe.sentAt)
+                  + " heard=" + std::to_string(heard - probe.heardBefore) + " health=" + std::to_string(health));
     // Hearing from nobody points to the own process or link. With two members both explanations are equal.
     if (heard == probe.heardBefore && table.live().size() > 1) {
         changeHealth(1);
@@ -194,6 +197,10 @@
         return entry.sequence == message.ack.sequence && entry.target == memberHash(message.ack.subject);
     });
     if (probe != probes.end()) {
+        metrics.observe("membership-probe-ms", static_cast<double>(now - probe->sentAt));
+        if (probe->failed) {
+            log.event("probe-late", message.ack.subject + " took_ms=" + std::to_string(now - probe->sentAt));
+        }
         // An answer after the end of the probe shows that answers reach this node too late.
         changeHealth(probe->failed ? 1 : -1);
         probes.erase(probe);
--- a/src/core/pullplan.cpp
+++ b/src/core/pullplan.cpp
@@ -80,6 +80,17 @@
     m_dueAt = now + wait + static_cast<TimeMs>(m_random.below(static_cast<std::uint64_t>(wait)));
 }
 
+std::optional<Advertiser> PullPlan::expire(TimeMs now)
+{
+    if (!m_deadline || now < *m_deadline) {
+        return std::nullopt;
+    }
+    m_deadline.reset();
+    ++m_failures;
+    m_dueAt = now;
+    return m_source;
+}
+
 std::optional<Advertiser> PullPlan::next(TimeMs now, Version newest)
 {
     std::erase_if(m_advertisers, [&](const Advertiser &entry) {
@@ -89,11 +100,6 @@
         clear();
         return std::nullopt;
     }
-    if (m_deadline && now >= *m_deadline) {
-        m_deadline.reset();
-        ++m_failures;
-        m_dueAt = now;
-    }
     if (m_deadline) {
         return std::nullopt;
     }
@@ -105,9 +111,9 @@
     }
     m_dueAt.reset();
     m_deadline = now + (m_settings.pullTimeoutMs << std::min(m_failures, kMaxBackoffShift));
-    Advertiser source = m_first ? *m_first : m_advertisers[m_random.below(m_advertisers.size())];
+    m_source = m_first ? *m_first : m_advertisers[m_random.below(m_advertisers.size())];
     m_first.reset();
-    return source;
+    return m_source;
 }
 
 FullAnswerLimit::FullAnswerLimit(const SpreadSettings &settings)
--- a/src/core/pullplan_p.h
+++ b/src/core/pullplan_p.h
@@ -33,6 +33,8 @@
     /// A newer version is held: the next pull may ask for a delta again.
     void onHeld();
     void onRefusal(TimeMs now, TimeMs retryAfterMs);
+    /// Ends a pull that was not answered in time and returns its source.
+    std::optional<Advertiser> expire(TimeMs now);
     /// Source to pull from now, if any. The caller sends the pull.
     std::optional<Advertiser> next(TimeMs now, Version newest);
     /// Whether the pull returned by next() asks for the full manifest.
@@ -48,6 +50,7 @@
     std::optional<Advertiser> m_first; ///< preferred source of the next pull
     std::optional<TimeMs> m_dueAt;
     std::optional<TimeMs> m_deadline; ///< of the pull in progress
+    Advertiser m_source; ///< of the pull in progress
     int m_failures = 0;
     bool m_full = false;
 };
--- a/src/core/spread.cpp
+++ b/src/core/spread.cpp
@@ -48,6 +48,7 @@
     tickPeerFloor();
     tickPush();
     tryActivate();
+    tickLag();
     tickPull();
     tickDigest();
 }
@@ -73,6 +74,8 @@
             confirm();
         }
     } else if (message.__isset.pullRefusal) {
+        m_log.event("pull-refused",
+                    "from=" + from.host + " retry_after_ms=" + std::to_string(message.pullRefusal.retryAfterMs));
         m_pulls.onRefusal(now, message.pullRefusal.retryAfterMs);
     }
     noteVersion(from, from.version);
@@ -111,6 +114,9 @@
     }
     if (error.failure == BuildFailure::NoBase) {
         m_metrics.count("spread_delta_without_base", "", 1);
+        m_log.event("delta-without-base",
+                    "offered=" + std::to_string(content.version) + " " + error.detail
+                        + " held=" + std::to_string(m_held.newestVersion()));
         return Outcome::NoBase;
     }
     reject(content.version, buildFailureName(error.failure), error.detail);
@@ -124,6 +130,7 @@
 {
     m_held.add(std::move(manifest));
     m_heldSince = m_now;
+    m_heldFrom = source;
     m_confirmed = source != Source::Platform;
     m_relayed.clear();
     m_pushAt.reset();
@@ -168,7 +175,9 @@
     }
     m_metrics.count("spread_activations", "", 1);
     m_metrics.gauge("spread_version", "", static_cast<double>(newest));
-    m_log.event("version-active", "version=" + std::to_string(newest) + " digest=" + m_running.digest);
+    m_log.event("version-active",
+                "version=" + std::to_string(newest) + " digest=" + m_running.digest + " source="
+                    + std::string(sourceName(m_heldFrom)) + " held_ms=" + std::to_string(m_now - m_heldSince));
     m_listener.onManifest(newest, m_running.digest, m_running.manifest);
 }
 
--- a/src/core/spread_p.h
+++ b/src/core/spread_p.h
@@ -15,6 +15,21 @@
 /// Where a version came from.
 enum class Source : std::uint8_t { Platform, ZonePush, ZonePeer, OtherZone };
 
+inline std::string_view sourceName(Source source)
+{
+    switch (source) {
+    case Source::Platform:
+        return "platform";
+    case Source::ZonePush:
+        return "zone-push";
+    case Source::ZonePeer:
+        return "zone-peer";
+    case Source::OtherZone:
+        return "other-zone";
+    }
+    return "unknown";
+}
+
 enum class Outcome : std::uint8_t { Held, NoBase, Rejected };
 
 inline SocketAddress addressOf(const wire::Header &from)
@@ -104,6 +119,7 @@
     void answer(const wire::Header &from, Version base);
     void tickDigest();
     void tickPull();
+    void tickLag();
     void sendDigest(const Member &to, std::optional<std::int64_t> nonce, bool reply);
     wire::Digest ownDigest() const;
 
@@ -161,6 +177,7 @@
 
     // Newest held version.
     TimeMs m_heldSince = 0;
+    Source m_heldFrom = Source::Platform;
     bool m_confirmed = true; ///< another member holds it too
     std::optional<TimeMs> m_pushAt;
     std::int64_t m_probeNonce = 0; ///< of the question whether the zone holds a version learned from another zone
@@ -173,6 +190,10 @@
     TimeMs m_nextDigestAt = 0;
     std::int64_t m_digestCount = 0;
     PullPlan m_pulls;
+    Version m_knownVersion = 0; ///< highest version that a peer has reported or `head` has named
+    std::optional<TimeMs> m_behindSince; ///< since when a version above the held one is known
+    TimeMs m_nextLagReportAt = 0;
+    bool m_lagReported = false;
     FullAnswerLimit m_fullAnswers;
 };
 
--- a/src/core/spreadfloor.cpp
+++ b/src/core/spreadfloor.cpp
@@ -102,6 +102,7 @@
         }
         m_head = head;
     }
+    m_knownVersion = std::max(m_knownVersion, headTarget().version);
     if (!m_floor) {
         setFloor(headTarget().version, "head");
     }
