Let a host that is behind, or hears from nobody, read the platform itself

Cause: versions reached a host only by datagrams of peers that held it for alive. Where the link of a host is full its datagrams are lost: its answers to probes, so that it is held for dead, and its pulls. After one lost push every delta lacks its base, and a lost pull is waited for up to 2.4 s. The host knew all the time that it was behind and that the platform was reachable, and did not ask it.

--- a/include/fulmarledge/spread.h
+++ b/include/fulmarledge/spread.h
@@ -53,6 +53,8 @@
     int readsPerSecond = 300;
     std::size_t expectedFleet = 1000; ///< lower bound of the fleet size, for the jitter of a node that knows no member
     TimeMs pullTimeoutMs = 600;
+    TimeMs repairAfterMs = 600; ///< a node that knows of a later version for this long reads the platform itself
+    TimeMs quietMs = 2000; ///< so does a node that no member has reached for this long
     int fullAnswers = 4; ///< full manifests sent per `fullAnswerWindowMs`
     TimeMs fullAnswerWindowMs = 500;
 };
--- a/src/core/headreader.cpp
+++ b/src/core/headreader.cpp
@@ -35,6 +35,7 @@
     m_watch.notBefore = now;
     m_fetch.notBefore = std::max(m_fetch.notBefore, now);
     m_readNeeded = true;
+    m_readOnce = false;
     m_hastened = false;
     m_objectVersion.reset();
     const auto delay = static_cast<TimeMs>(m_random.below(static_cast<std::uint64_t>(windowMs) + 1));
@@ -51,6 +52,24 @@
     m_read.notBefore = std::min(m_read.notBefore, std::max(m_throttledUntil, now + delay));
 }
 
+void HeadReader::readOnce(TimeMs at)
+{
+    if (m_read.active || m_readNeeded) {
+        return;
+    }
+    m_readNeeded = true;
+    m_readOnce = true;
+    m_read.notBefore = std::max(m_read.failures > 0 ? std::max(at, m_read.notBefore) : at, m_throttledUntil);
+}
+
+void HeadReader::cancelReadOnce()
+{
+    if (m_readOnce) {
+        m_readNeeded = false;
+        m_readOnce = false;
+    }
+}
+
 void HeadReader::setWatching(TimeMs now, bool watching)
 {
     if (watching == m_watching) {
@@ -159,6 +178,7 @@
     answered(m_read);
     m_read.active = m_read.active && !current;
     m_readNeeded = false;
+    m_readOnce = false;
     // Watchers spread their checks so as not to read in step. A node that is no watcher leaves the next window to the
     // fetches that follow the first reads of a returning fleet.
     const TimeMs period = std::max(m_settings.headCheckMs, 2 * m_windowMs);
--- a/src/core/headreader_p.h
+++ b/src/core/headreader_p.h
@@ -32,6 +32,10 @@
     void restart(TimeMs now, TimeMs windowMs);
     /// Draws the time of a first read that is still to come again, from the shorter `windowMs`. Acts once per restart.
     void hasten(TimeMs now, TimeMs windowMs);
+    /// Reads `head` at `at`, also in a node that does not watch. After a failure the back-off of the reads goes first.
+    void readOnce(TimeMs at);
+    /// Drops a read that readOnce() has planned.
+    void cancelReadOnce();
     /// Starts or stops watching. A node that starts reads `head` first.
     void setWatching(TimeMs now, bool watching);
     /// Wants the content of `version` from `at` on. Replaces an earlier wish.
@@ -92,6 +96,7 @@
     TimeMs m_throttledUntil = 0; ///< retry-after holds for every sort of call
     bool m_watching = false;
     bool m_readNeeded = false;
+    bool m_readOnce = false; ///< `m_readNeeded` was set by readOnce()
     bool m_hastened = false;
     bool m_reachable = false;
     std::optional<std::int64_t> m_objectVersion; ///< platform version of `head` last read
--- a/src/core/spread.cpp
+++ b/src/core/spread.cpp
@@ -30,6 +30,7 @@
 {
     m_now = now;
     m_started = true;
+    m_heardAt = now;
     m_rank = m_settings.watchersPerZone;
     m_digestCount = static_cast<std::int64_t>(random(m_settings.otherZoneEvery));
     m_nextDigestAt = now + static_cast<TimeMs>(random(m_settings.jitterMs));
@@ -48,7 +49,7 @@
     tickPeerFloor();
     tickPush();
     tryActivate();
-    tickLag();
+    tickRepair();
     tickPull();
     tickDigest();
 }
@@ -60,6 +61,7 @@
         return;
     }
     const wire::Header &from = message.header;
+    m_heardAt = now;
     // The content of this very message may make the node current, so its version counts as advertised afterwards.
     if (message.__isset.push) {
         onPush(from, message.push);
@@ -131,7 +133,8 @@
     m_held.add(std::move(manifest));
     m_heldSince = m_now;
     m_heldFrom = source;
-    m_confirmed = source != Source::Platform;
+    // A version that a peer has reported is held by that peer.
+    m_confirmed = source != Source::Platform || m_reportedVersion >= m_held.newestVersion();
     m_relayed.clear();
     m_pushAt.reset();
     m_pulls.onHeld();
--- a/src/core/spread_p.h
+++ b/src/core/spread_p.h
@@ -111,15 +111,23 @@
     void replicate();
     void sendPush(const Member &to, HashInterval interval);
 
+    // Lag and its repair from the platform (spreadrepair.cpp).
+    void noteVersion(const wire::Header &from, Version version);
+    void tickRepair();
+    /// Whether a later version has been known for so long that a push or a pull should have brought it.
+    bool isLate() const
+    {
+        return m_behindSince && m_now - *m_behindSince >= m_settings.repairAfterMs;
+    }
+    void reportLag();
+
     // Digests and pulls (spreaddigest.cpp).
     void onDigest(const wire::Header &from, const wire::Digest &digest);
     void onPull(const wire::Header &from, const wire::Pull &pull);
     void onContentMessage(const wire::Header &from, const wire::Content &content);
-    void noteVersion(const wire::Header &from, Version version);
     void answer(const wire::Header &from, Version base);
     void tickDigest();
     void tickPull();
-    void tickLag();
     void sendDigest(const Member &to, std::optional<std::int64_t> nonce, bool reply);
     wire::Digest ownDigest() const;
 
@@ -190,8 +198,13 @@
     TimeMs m_nextDigestAt = 0;
     std::int64_t m_digestCount = 0;
     PullPlan m_pulls;
-    Version m_knownVersion = 0; ///< highest version that a peer has reported or `head` has named
+
+    // Lag.
+    Version m_reportedVersion = 0; ///< highest version that a peer has reported
     std::optional<TimeMs> m_behindSince; ///< since when a version above the held one is known
+    TimeMs m_heardAt = 0; ///< last message of a member
+    bool m_repairing = false; ///< the platform is read because peers do not bring the version
+    TimeMs m_nextRepairAt = 0;
     TimeMs m_nextLagReportAt = 0;
     bool m_lagReported = false;
     FullAnswerLimit m_fullAnswers;
--- a/src/core/spreaddigest.cpp
+++ b/src/core/spreaddigest.cpp
@@ -1,25 +1,7 @@
 #include "spread_p.h"
 
-#include <algorithm>
-
 namespace fulmarledge {
 
-namespace {
-
-/// A push, or a pull after a lost one, has usually arrived by then.
-constexpr TimeMs kLagReportMs = 500;
-constexpr TimeMs kLagRepeatMs = 1000;
-
-} // namespace
-
-void Spread::Private::noteVersion(const wire::Header &from, Version version)
-{
-    m_knownVersion = std::max(m_knownVersion, version);
-    if (version > m_held.newestVersion()) {
-        m_pulls.note(m_now, advertiser(from, version));
-    }
-}
-
 wire::Digest Spread::Private::ownDigest() const
 {
     wire::Digest digest;
@@ -132,35 +114,6 @@
     m_pulls.pullNow(m_now, advertiser(from, content.version), true);
 }
 
-void Spread::Private::tickLag()
-{
-    const Version held = m_held.newestVersion();
-    if (m_knownVersion <= held) {
-        if (m_lagReported) {
-            m_log.event("caught-up",
-                        "held=" + std::to_string(held)
-                            + " behind_ms=" + std::to_string(m_now - m_behindSince.value_or(m_now)));
-        }
-        m_behindSince.reset();
-        m_lagReported = false;
-        return;
-    }
-    if (!m_behindSince) {
-        m_behindSince = m_now;
-        m_nextLagReportAt = m_now + kLagReportMs;
-    }
-    if (m_now < m_nextLagReportAt) {
-        return;
-    }
-    m_nextLagReportAt = m_now + kLagRepeatMs;
-    m_lagReported = true;
-    m_metrics.count("spread_behind", "", 1);
-    m_log.event("behind",
-                "held=" + std::to_string(held) + " known=" + std::to_string(m_knownVersion) + " behind_ms="
-                    + std::to_string(m_now - *m_behindSince) + " live=" + std::to_string(m_members.liveCount())
-                    + " platform=" + (m_reader.reachable() ? "reachable" : "unreachable"));
-}
-
 void Spread::Private::tickPull()
 {
     if (const auto silent = m_pulls.expire(m_now)) {
--- a/src/core/spreadfloor.cpp
+++ b/src/core/spreadfloor.cpp
@@ -77,7 +77,11 @@
     if (m_settings.way == SpreadWay::Direct) {
         return static_cast<TimeMs>(random(m_settings.jitterMs));
     }
-    if (m_rank < m_settings.watchersPerZone) {
+    const bool watcher = m_rank < m_settings.watchersPerZone;
+    if (isLate() || (m_repairing && !watcher)) {
+        return 0;
+    }
+    if (watcher) {
         return m_rank * m_settings.rankDelayMs;
     }
     return kFetchFallbackMs + static_cast<TimeMs>(random(windowMs()));
@@ -102,7 +106,6 @@
         }
         m_head = head;
     }
-    m_knownVersion = std::max(m_knownVersion, headTarget().version);
     if (!m_floor) {
         setFloor(headTarget().version, "head");
     }
--- a/src/core/spreadpush.cpp
+++ b/src/core/spreadpush.cpp
@@ -62,10 +62,11 @@
     } else if (m_settings.way == SpreadWay::Direct) {
         // Another node that reads the platform may hold the version by then, which saves the copy.
         m_replicateAt = m_now + static_cast<TimeMs>(random(m_settings.replicateMs));
-    } else if (source == Source::Platform) {
+    } else if (source == Source::Platform && (m_rank < m_settings.watchersPerZone || !m_confirmed)) {
         // The rank delay counts from the new `head`: a watcher has used it up before it fetched the content.
         m_pushAt = std::max(m_now, m_headSeenAt + delay);
-    } else if (source == Source::OtherZone) {
+    } else if (source != Source::ZonePush && source != Source::ZonePeer) {
+        // The zone may have had its push, also when this node had to read a version that peers report.
         m_pushAt = m_now + delay;
         if (delay > 0) {
             probeZone();
--- a/tests/core_spread_lag.cpp
+++ b/tests/core_spread_lag.cpp
@@ -55,6 +55,7 @@
         result.spread.otherZoneEvery = 2;
         result.spread.replicateLimitMs = 300;
         result.spread.backoffMaxMs = 500;
+        result.spread.quietMs = 1000;
         return result;
     }
 };
