Replace control connections that have gone silent, and close those of vanished peers

What is at risk: versions and tables of more than a datagram are written to a connection that is kept while frames are sent on it. Each frame restarted the idle timer, so a connection that went silent (no reset, new ones work) took all pushes and answers to that member for as long as they came more often than every 5 s, which a storm of configurations does. On the other side an accepted connection whose peer vanished was never closed; 256 of them refuse all others.

Change: frames are acknowledged by an empty frame; a frame without one for 1.5 s closes the connection, only an acknowledgement prolongs it, and incoming connections close after 15 s without a message.

Tests in adapter_peersocket.cpp. With the timer restarted by each frame, no acknowledgements and no incoming timer, two of the three failed: 0 connections replaced in 1 s, and the connection of a vanished peer still open.

--- a/src/adapters/peersocket.cpp
+++ b/src/adapters/peersocket.cpp
@@ -17,7 +17,10 @@
 constexpr std::size_t kMaxIncoming = 256;
 constexpr std::size_t kMaxOutgoing = 64;
 constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
-constexpr std::int64_t kIdleMs = 5000;
+/// The sender closes an idle connection first, unless it is gone or cut off.
+constexpr std::int64_t kIncomingIdleFactor = 3;
+/// An empty frame, which no message is.
+constexpr std::string_view kAcknowledgement;
 constexpr std::size_t kDatagramBufferBytes = 64 * 1024;
 /// A bound on one round keeps ticks on time during a burst.
 constexpr int kDatagramsPerRound = 256;
@@ -50,8 +53,9 @@
     return "update";
 }
 
-PeerSocket::PeerSocket(IoLoop &loop, MetricsSink &metrics)
-    : m_loop(loop)
+PeerSocket::PeerSocket(IoLoop &loop, MetricsSink &metrics, const PeerSocketSettings &settings)
+    : m_settings(settings)
+    , m_loop(loop)
     , m_metrics(metrics)
 {
 }
@@ -120,23 +124,47 @@
         }
         auto stream = std::make_unique<FrameStream>(m_loop, std::move(*socket), FULMARLEDGE_CONFIG_MAX_FRAME_BYTES);
         found = m_outgoing.emplace(to, Outgoing{std::move(stream), {}}).first;
-        found->second.stream->start([](std::span<const std::uint8_t>) {}, [this, to] { dropOutgoing(to); });
+        found->second.stream->start([this, to](std::span<const std::uint8_t>) { onAcknowledged(to); },
+                                    [this, to] { dropOutgoing(to); });
     }
     if (found->second.stream->unsentBytes() + payload.size() > kMaxUnsentBytes) {
         m_metrics.count("control-frames-dropped", "unsent-bytes", 1);
         return;
     }
-    found->second.stream->send(payload);
-    // A connection whose peer is silent or gone is closed by the same timer.
-    m_loop.cancel(found->second.idleTimer);
-    found->second.idleTimer = m_loop.runAfter(kIdleMs, [this, to] { dropOutgoing(to); });
+    Outgoing &outgoing = found->second;
+    outgoing.stream->send(payload);
+    // Only an acknowledgement prolongs the wait: the kernel takes frames for a silent peer too.
+    if (++outgoing.unacknowledged == 1) {
+        restartTimer(to, outgoing);
+    }
+}
+
+void PeerSocket::onAcknowledged(const SocketAddress &to)
+{
+    const auto found = m_outgoing.find(to);
+    if (found != m_outgoing.end() && found->second.unacknowledged > 0) {
+        --found->second.unacknowledged;
+        restartTimer(to, found->second);
+    }
+}
+
+void PeerSocket::restartTimer(const SocketAddress &to, Outgoing &outgoing)
+{
+    m_loop.cancel(outgoing.timer);
+    const bool waits = outgoing.unacknowledged > 0;
+    outgoing.timer = m_loop.runAfter(waits ? m_settings.silenceMs : m_settings.idleMs, [this, to, waits] {
+        if (waits) {
+            m_metrics.count("control-connections-silent", "", 1);
+        }
+        dropOutgoing(to);
+    });
 }
 
 void PeerSocket::dropOutgoing(const SocketAddress &to)
 {
     const auto found = m_outgoing.find(to);
     if (found != m_outgoing.end()) {
-        m_loop.cancel(found->second.idleTimer);
+        m_loop.cancel(found->second.timer);
         m_outgoing.erase(found);
     }
 }
@@ -163,9 +191,31 @@
         const std::uint64_t id = m_nextIncoming++;
         auto stream = std::make_unique<FrameStream>(m_loop, std::move(*socket), FULMARLEDGE_CONFIG_MAX_FRAME_BYTES);
         FrameStream &started = *stream;
-        m_incoming.emplace(id, std::move(stream));
-        started.start([this](std::span<const std::uint8_t> frame) { receiveFrame(frame); },
-                      [this, id] { m_incoming.erase(id); });
+        m_incoming.emplace(id, Incoming{std::move(stream), {}});
+        restartIncomingTimer(id);
+        started.start(
+            [this, id, &started](std::span<const std::uint8_t> frame) {
+                started.send(kAcknowledgement);
+                restartIncomingTimer(id);
+                receiveFrame(frame);
+            },
+            [this, id] { dropIncoming(id); });
+    }
+}
+
+void PeerSocket::restartIncomingTimer(std::uint64_t id)
+{
+    Incoming &incoming = m_incoming.at(id);
+    m_loop.cancel(incoming.timer);
+    incoming.timer = m_loop.runAfter(kIncomingIdleFactor * m_settings.idleMs, [this, id] { dropIncoming(id); });
+}
+
+void PeerSocket::dropIncoming(std::uint64_t id)
+{
+    const auto found = m_incoming.find(id);
+    if (found != m_incoming.end()) {
+        m_loop.cancel(found->second.timer);
+        m_incoming.erase(found);
     }
 }
 
--- a/src/adapters/peersocket.h
+++ b/src/adapters/peersocket.h
@@ -12,13 +12,20 @@
 
 namespace fulmarledge {
 
+/// Times in milliseconds.
+struct PeerSocketSettings {
+    std::int64_t idleMs = 5000; ///< an outgoing connection without a frame for this time is closed
+    /// Longest wait for the acknowledgement of a frame. A connection can go silent without a reset while new ones work.
+    std::int64_t silenceMs = 1500;
+};
+
 /// Control messages over UDP, and compressed over TCP when they do not fit one datagram. Belongs to the loop's thread.
 class PeerSocket : public PeerTransport
 {
 public:
     using Handler = std::function<void(const wire::Envelope &message)>;
 
-    PeerSocket(IoLoop &loop, MetricsSink &metrics);
+    PeerSocket(IoLoop &loop, MetricsSink &metrics, const PeerSocketSettings &settings = {});
     ~PeerSocket() override;
 
     /// Binds the UDP and the TCP socket to one address.
@@ -28,7 +35,12 @@
 private:
     struct Outgoing {
         std::unique_ptr<FrameStream> stream;
-        TimerId idleTimer;
+        TimerId timer; ///< closes the connection when it is idle, or silent
+        std::size_t unacknowledged = 0; ///< frames sent
+    };
+    struct Incoming {
+        std::unique_ptr<FrameStream> stream;
+        TimerId timer; ///< closes the connection when it is idle
     };
 
     void onDatagram();
@@ -36,15 +48,20 @@
     void receiveFrame(std::span<const std::uint8_t> frame);
     void receive(std::span<const std::uint8_t> data);
     void sendFrame(const SocketAddress &to, std::string_view payload);
+    void onAcknowledged(const SocketAddress &to);
+    void restartTimer(const SocketAddress &to, Outgoing &outgoing);
     void dropOutgoing(const SocketAddress &to);
+    void restartIncomingTimer(std::uint64_t id);
+    void dropIncoming(std::uint64_t id);
 
+    PeerSocketSettings m_settings;
     IoLoop &m_loop;
     MetricsSink &m_metrics;
     Handler m_handler;
     Socket m_udp;
     Socket m_listener;
     std::map<SocketAddress, Outgoing> m_outgoing;
-    std::map<std::uint64_t, std::unique_ptr<FrameStream>> m_incoming;
+    std::map<std::uint64_t, Incoming> m_incoming;
     std::uint64_t m_nextIncoming = 1;
 };
 
--- /dev/null
+++ b/tests/adapter_peersocket.cpp
@@ -0,0 +1,132 @@
+#include <catch2/catch.hpp>
+#include <sys/socket.h>
+
+#include "datapathfixture.h"
+#include "fakes.h"
+#include "peersocket.h"
+
+using namespace datapathtest;
+using fulmarledge::spreadtest::CountingMetrics;
+
+namespace {
+
+constexpr std::uint16_t kPort = 18700;
+constexpr std::uint16_t kPeerPort = 18701;
+constexpr std::int64_t kSendPeriodMs = 20;
+
+/// A message that does not fit a datagram.
+wire::Envelope largeMessage()
+{
+    wire::Content content;
+    content.version = 1;
+    content.__set_full(std::string(4000, 'x'));
+    wire::Envelope message;
+    message.header.host = "sender";
+    message.__set_content(content);
+    return message;
+}
+
+PeerSocketSettings fastSettings()
+{
+    PeerSocketSettings settings;
+    settings.idleMs = 100;
+    settings.silenceMs = 200;
+    return settings;
+}
+
+/// Sends large messages to a peer, one after the other, for a time.
+class Sender
+{
+public:
+    Sender(IoLoop &loop, const SocketAddress &peer, CountingMetrics &metrics)
+        : m_loop(loop)
+        , m_peer(peer)
+        , m_socket(loop, metrics, fastSettings())
+    {
+        LastReason error;
+        REQUIRE(m_socket.start(
+            {"127.0.0.1", kPort}, [](const wire::Envelope &) {}, error));
+        send();
+    }
+
+private:
+    void send()
+    {
+        m_socket.send(m_peer, largeMessage());
+        m_loop.runAfter(kSendPeriodMs, [this] { send(); });
+    }
+
+    IoLoop &m_loop;
+    SocketAddress m_peer;
+    PeerSocket m_socket;
+};
+
+void runFor(IoLoop &loop, std::int64_t ms)
+{
+    loop.runAfter(ms, [&] { loop.stop(); });
+    loop.run();
+}
+
+} // namespace
+
+// Guards against versions that are written for ever to a connection whose peer has gone silent.
+TEST_CASE("a control connection that has gone silent is replaced while messages are sent on it")
+{
+    const RawListener silent(kPeerPort);
+    std::vector<int> accepted;
+    std::thread peer([&] {
+        for (int i = 0; i < 2; ++i) {
+            accepted.push_back(silent.accept());
+        }
+    });
+    IoLoop loop;
+    CountingMetrics metrics;
+    {
+        const Sender sender(loop, {"127.0.0.1", kPeerPort}, metrics);
+        runFor(loop, 1000);
+    }
+    const double replaced = metrics["control-connections-silent/"];
+    // Ends the wait of the peer when there was no second connection.
+    LastReason error;
+    const auto last = connectTcp({"127.0.0.1", kPeerPort}, error);
+    peer.join();
+    for (const int fd : accepted) {
+        ::close(fd);
+    }
+    CHECK(replaced >= 2);
+}
+
+// Guards against the replacement of a connection whose peer answers.
+TEST_CASE("a control connection whose peer reads stays open")
+{
+    IoLoop loop;
+    CountingMetrics metrics;
+    int received = 0;
+    PeerSocket peer(loop, metrics, fastSettings());
+    LastReason error;
+    REQUIRE(peer.start(
+        {"127.0.0.1", kPeerPort}, [&](const wire::Envelope &) { ++received; }, error));
+    {
+        const Sender sender(loop, {"127.0.0.1", kPeerPort}, metrics);
+        runFor(loop, 1000);
+    }
+    CHECK(received >= 20);
+    CHECK(metrics["control-connections-silent/"] == 0);
+    CHECK(metrics["control-messages-malformed/"] == 0);
+}
+
+// Guards against connections of peers that have vanished, which in time leave no room for others.
+TEST_CASE("an incoming control connection without messages is closed")
+{
+    IoLoop loop;
+    CountingMetrics metrics;
+    PeerSocket socket(loop, metrics, fastSettings());
+    LastReason error;
+    REQUIRE(socket.start(
+        {"127.0.0.1", kPeerPort}, [](const wire::Envelope &) {}, error));
+    const auto vanished = connectTcp({"127.0.0.1", kPeerPort}, error);
+    REQUIRE(vanished);
+    runFor(loop, 600);
+    char byte = 0;
+    CHECK(::recv(vanished->fd(), &byte, 1, 0) == 0);
+}
