Repeat a pull that was not answered over a connection

Callers saw old configurations on hosts behind full links (CONFIG).

Change: after a pull without an answer, pulls of the next 10 s go over a connection and are answered over it. PeerTransport::sendReliably is the port for messages whose datagrams seem to be lost.

Test: a host that the platform refuses, whose datagrams are lost and that misses each version once is up to date within 2 s. With the pulls sent as datagrams it stayed at version 1.

--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -2066,6 +2066,11 @@
 void Pull::__set_full(const bool val) {
   this->full = val;
 }
+
+void Pull::__set_reliable(const bool val) {
+  this->reliable = val;
+__isset.reliable = true;
+}
 std::ostream& operator<<(std::ostream& out, const Pull& obj)
 {
   obj.printTo(out);
@@ -2110,6 +2115,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reliable);
+          this->__isset.reliable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2135,6 +2148,11 @@
   xfer += oprot->writeBool(this->full);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.reliable) {
+    xfer += oprot->writeFieldBegin("reliable", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->reliable);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2144,28 +2162,33 @@
   using ::std::swap;
   swap(a.haveVersion, b.haveVersion);
   swap(a.full, b.full);
+  swap(a.reliable, b.reliable);
   swap(a.__isset, b.__isset);
 }
 
 Pull::Pull(const Pull& other66) noexcept {
   haveVersion = other66.haveVersion;
   full = other66.full;
+  reliable = other66.reliable;
   __isset = other66.__isset;
 }
 Pull::Pull(Pull&& other67) noexcept {
   haveVersion = other67.haveVersion;
   full = other67.full;
+  reliable = other67.reliable;
   __isset = other67.__isset;
 }
 Pull& Pull::operator=(const Pull& other68) noexcept {
   haveVersion = other68.haveVersion;
   full = other68.full;
+  reliable = other68.reliable;
   __isset = other68.__isset;
   return *this;
 }
 Pull& Pull::operator=(Pull&& other69) noexcept {
   haveVersion = other69.haveVersion;
   full = other69.full;
+  reliable = other69.reliable;
   __isset = other69.__isset;
   return *this;
 }
@@ -2174,6 +2197,7 @@
   out << "Pull(";
   out << "haveVersion=" << to_string(haveVersion);
   out << ", " << "full=" << to_string(full);
+  out << ", " << "reliable="; (__isset.reliable ? (out << to_string(reliable)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -847,9 +847,10 @@
 std::ostream& operator<<(std::ostream& out, const PushAck& obj);
 
 typedef struct _Pull__isset {
-  _Pull__isset() : haveVersion(false), full(false) {}
+  _Pull__isset() : haveVersion(false), full(false), reliable(false) {}
   bool haveVersion :1;
   bool full :1;
+  bool reliable :1;
 } _Pull__isset;
 
 class Pull : public virtual ::apache::thrift::TBase {
@@ -861,12 +862,14 @@
   Pull& operator=(Pull&&) noexcept;
   Pull() noexcept
        : haveVersion(0),
-         full(0) {
+         full(0),
+         reliable(0) {
   }
 
   virtual ~Pull() noexcept;
   int64_t haveVersion;
   bool full;
+  bool reliable;
 
   _Pull__isset __isset;
 
@@ -874,12 +877,18 @@
 
   void __set_full(const bool val);
 
+  void __set_reliable(const bool val);
+
   bool operator == (const Pull & rhs) const
   {
     if (!(haveVersion == rhs.haveVersion))
       return false;
     if (!(full == rhs.full))
       return false;
+    if (__isset.reliable != rhs.__isset.reliable)
+      return false;
+    else if (__isset.reliable && !(reliable == rhs.reliable))
+      return false;
     return true;
   }
   bool operator != (const Pull &rhs) const {
--- a/include/fulmarledge/controlnode.h
+++ b/include/fulmarledge/controlnode.h
@@ -83,6 +83,9 @@
 
 private:
     void send(const SocketAddress &to, const wire::Envelope &message) override;
+    void sendReliably(const SocketAddress &to, const wire::Envelope &message) override;
+    /// Adds the header, and host records where the message leaves room.
+    wire::Envelope stamped(const wire::Envelope &message);
     void onManifest(Version version, const std::string &digest, std::shared_ptr<const Manifest> manifest) override;
     void event(std::string_view name, std::string_view detail) override;
 
--- a/include/fulmarledge/ports.h
+++ b/include/fulmarledge/ports.h
@@ -74,6 +74,9 @@
 public:
     virtual ~PeerTransport() = default;
     virtual void send(const SocketAddress &to, const wire::Envelope &message) = 0;
+    /// Sends over a connection, which repeats lost packets. For messages whose datagrams seem to be lost: it costs a
+    /// handshake when no connection to the member is open.
+    virtual void sendReliably(const SocketAddress &to, const wire::Envelope &message) = 0;
 };
 
 class RandomSource
--- a/src/adapters/peersocket.cpp
+++ b/src/adapters/peersocket.cpp
@@ -90,17 +90,12 @@
 
 void PeerSocket::send(const SocketAddress &to, const wire::Envelope &message)
 {
-    std::string payload = encodeMessage(message);
-    const bool frame = payload.size() > FULMARLEDGE_CONFIG_MAX_DATAGRAM_BYTES;
-    if (frame) {
-        payload = packText(payload);
-    }
-    m_metrics.count("control-bytes-out", messageName(message), static_cast<double>(payload.size()));
-    m_metrics.count("control-messages-out", messageName(message), 1);
-    if (frame) {
-        sendFrame(to, payload);
+    const std::string payload = encodeMessage(message);
+    if (payload.size() > FULMARLEDGE_CONFIG_MAX_DATAGRAM_BYTES) {
+        sendReliably(to, message);
         return;
     }
+    countSent(message, payload.size());
     const auto target = toSockaddr(to);
     if (target) {
         // The protocol repairs a lost datagram, so a full send buffer is counted and no error.
@@ -112,6 +107,19 @@
     }
 }
 
+void PeerSocket::sendReliably(const SocketAddress &to, const wire::Envelope &message)
+{
+    const std::string payload = packText(encodeMessage(message));
+    countSent(message, payload.size());
+    sendFrame(to, payload);
+}
+
+void PeerSocket::countSent(const wire::Envelope &message, std::size_t bytes)
+{
+    m_metrics.count("control-bytes-out", messageName(message), static_cast<double>(bytes));
+    m_metrics.count("control-messages-out", messageName(message), 1);
+}
+
 void PeerSocket::sendFrame(const SocketAddress &to, std::string_view payload)
 {
     auto found = m_outgoing.find(to);
--- a/src/adapters/peersocket.h
+++ b/src/adapters/peersocket.h
@@ -31,6 +31,7 @@
     /// Binds the UDP and the TCP socket to one address.
     bool start(const SocketAddress &address, Handler handler, LastReason &error);
     void send(const SocketAddress &to, const wire::Envelope &message) override;
+    void sendReliably(const SocketAddress &to, const wire::Envelope &message) override;
 
 private:
     struct Outgoing {
@@ -47,6 +48,7 @@
     void onAccept();
     void receiveFrame(std::span<const std::uint8_t> frame);
     void receive(std::span<const std::uint8_t> data);
+    void countSent(const wire::Envelope &message, std::size_t bytes);
     void sendFrame(const SocketAddress &to, std::string_view payload);
     void onAcknowledged(const SocketAddress &to);
     void restartTimer(const SocketAddress &to, Outgoing &outgoing);
--- a/src/core/controlnode.cpp
+++ b/src/core/controlnode.cpp
@@ -104,14 +104,24 @@
 
 void ControlNode::send(const SocketAddress &to, const wire::Envelope &message)
 {
-    wire::Envelope stamped = message;
-    stamped.header = m_header;
-    stamped.header.incarnation = m_membership.self().incarnation;
-    stamped.header.version = m_version;
-    if (carriesUpdates(stamped)) {
-        m_membership.fillUpdates(stamped, kUpdateBytes);
+    m_transport.send(to, stamped(message));
+}
+
+void ControlNode::sendReliably(const SocketAddress &to, const wire::Envelope &message)
+{
+    m_transport.sendReliably(to, stamped(message));
+}
+
+wire::Envelope ControlNode::stamped(const wire::Envelope &message)
+{
+    wire::Envelope result = message;
+    result.header = m_header;
+    result.header.incarnation = m_membership.self().incarnation;
+    result.header.version = m_version;
+    if (carriesUpdates(result)) {
+        m_membership.fillUpdates(result, kUpdateBytes);
     }
-    m_transport.send(to, stamped);
+    return result;
 }
 
 void ControlNode::onManifest(Version version, const std::string &digest, std::shared_ptr<const Manifest> manifest)
--- a/src/core/pullplan.cpp
+++ b/src/core/pullplan.cpp
@@ -10,6 +10,8 @@
 /// A report older than this may come from a member that has since restarted with nothing.
 constexpr TimeMs kAdvertiserLifeMs = 10000;
 constexpr int kMaxBackoffShift = 2;
+/// How long pulls go over a connection after one was not answered. A link that loses datagrams stays full for seconds.
+constexpr TimeMs kReliableMs = 10000;
 
 } // namespace
 
@@ -87,6 +89,7 @@
     }
     m_deadline.reset();
     ++m_failures;
+    m_reliableUntil = now + kReliableMs;
     m_dueAt = now;
     return m_source;
 }
--- a/src/core/pullplan_p.h
+++ b/src/core/pullplan_p.h
@@ -37,6 +37,11 @@
     std::optional<Advertiser> expire(TimeMs now);
     /// Source to pull from now, if any. The caller sends the pull.
     std::optional<Advertiser> next(TimeMs now, Version newest);
+    /// Whether a recent pull was not answered, so that datagrams may be lost.
+    bool isReliable(TimeMs now) const
+    {
+        return now < m_reliableUntil;
+    }
     /// Whether the pull returned by next() asks for the full manifest.
     bool isFull() const
     {
@@ -51,6 +56,7 @@
     std::optional<TimeMs> m_dueAt;
     std::optional<TimeMs> m_deadline; ///< of the pull in progress
     Advertiser m_source; ///< of the pull in progress
+    TimeMs m_reliableUntil = 0;
     int m_failures = 0;
     bool m_full = false;
 };
--- a/src/core/spread_p.h
+++ b/src/core/spread_p.h
@@ -125,7 +125,7 @@
     void onDigest(const wire::Header &from, const wire::Digest &digest);
     void onPull(const wire::Header &from, const wire::Pull &pull);
     void onContentMessage(const wire::Header &from, const wire::Content &content);
-    void answer(const wire::Header &from, Version base);
+    void answer(const wire::Header &from, Version base, bool reliable);
     void tickDigest();
     void tickPull();
     void sendDigest(const Member &to, std::optional<std::int64_t> nonce, bool reply);
--- a/src/core/spreaddigest.cpp
+++ b/src/core/spreaddigest.cpp
@@ -62,7 +62,7 @@
     noteVersion(from, digest.version);
     // A reply says 0 when the sender does not know its floor, so it does not show what the sender lacks.
     if (!digest.reply && digest.version < m_held.newestVersion() && m_now - m_heldSince >= m_settings.settleMs) {
-        answer(from, digest.version);
+        answer(from, digest.version, false);
     }
 }
 
@@ -72,10 +72,10 @@
         m_metrics.count("spread_stale_messages", "pull", 1);
         return;
     }
-    answer(from, pull.full ? 0 : pull.haveVersion);
+    answer(from, pull.full ? 0 : pull.haveVersion, pull.reliable);
 }
 
-void Spread::Private::answer(const wire::Header &from, Version base)
+void Spread::Private::answer(const wire::Header &from, Version base, bool reliable)
 {
     wire::Envelope message;
     const wire::Content content = m_held.contentFor(base);
@@ -89,7 +89,11 @@
         message.__set_content(content);
         m_metrics.count("spread_answers", content.__isset.full ? "full" : "delta", 1);
     }
-    m_peers.send(addressOf(from), message);
+    if (reliable) {
+        m_peers.sendReliably(addressOf(from), message);
+    } else {
+        m_peers.send(addressOf(from), message);
+    }
 }
 
 void Spread::Private::onContentMessage(const wire::Header &from, const wire::Content &content)
@@ -130,12 +134,20 @@
     wire::Pull pull;
     pull.haveVersion = m_held.newestVersion();
     pull.full = m_pulls.isFull();
+    if (m_pulls.isReliable(m_now)) {
+        pull.__set_reliable(true);
+    }
     message.__set_pull(pull);
     m_metrics.count("spread_pulls", pull.full ? "full" : "delta", 1);
     m_log.event("pull",
                 "from=" + source->host + " held=" + std::to_string(pull.haveVersion)
-                    + " known=" + std::to_string(source->version) + " full=" + (pull.full ? "yes" : "no"));
-    m_peers.send(source->address, message);
+                    + " known=" + std::to_string(source->version) + " full=" + (pull.full ? "yes" : "no")
+                    + " reliable=" + (pull.reliable ? "yes" : "no"));
+    if (pull.reliable) {
+        m_peers.sendReliably(source->address, message);
+    } else {
+        m_peers.send(source->address, message);
+    }
 }
 
 } // namespace fulmarledge
--- a/tests/core_controlnode.cpp
+++ b/tests/core_controlnode.cpp
@@ -72,6 +72,10 @@
                 }
             });
         }
+        void sendReliably(const SocketAddress &to, const wire::Envelope &message) override
+        {
+            send(to, message);
+        }
         void onSnapshot(std::shared_ptr<const Snapshot> next) override
         {
             CHECK(next->isConsistent());
@@ -178,6 +182,7 @@
 {
 public:
     MAKE_MOCK2(send, void(const SocketAddress &, const wire::Envelope &), override);
+    MAKE_MOCK2(sendReliably, void(const SocketAddress &, const wire::Envelope &), override);
 };
 
 } // namespace
--- a/tests/core_spread_lag.cpp
+++ b/tests/core_spread_lag.cpp
@@ -11,6 +11,8 @@
 constexpr TimeMs kApplyMs = 2000;
 constexpr TimeMs kChangePeriodMs = 1200;
 constexpr int kChanges = 20;
+/// Longer than a push takes, shorter than the first pull.
+constexpr TimeMs kDeafMs = 300;
 
 /// A settled fleet of 12 hosts in 3 zones with the timing of the users' platform.
 class LagFleet : public SpreadFleet
@@ -52,6 +54,8 @@
     {
         FleetSettings result;
         result.spread.watchersPerZone = 1;
+        // Stands for digests, probes and their answers together: about six messages a second reach a host.
+        result.spread.digestMs = 170;
         result.spread.otherZoneEvery = 2;
         result.spread.replicateLimitMs = 300;
         result.spread.backoffMaxMs = 500;
@@ -65,7 +69,7 @@
 {
     fleet.deaf.insert(host);
     fleet.accept();
-    fleet.run(300);
+    fleet.run(kDeafMs);
     fleet.deaf.erase(host);
 }
 
@@ -90,3 +94,19 @@
     fleet.disown(host);
     fleet.requireInForce(host);
 }
+
+// Guards against a host that only its peers can bring up to date and whose pulls are lost.
+TEST_CASE("spread lag: a host that the platform refuses and whose datagrams are lost catches up from its peers")
+{
+    LagFleet fleet;
+    const std::size_t host = fleet.ordinaryHost();
+    fleet.muted.insert(host);
+    fleet.refused.insert(host);
+    for (int i = 0; i < kChanges; ++i) {
+        missOneVersion(fleet, host);
+        fleet.run(kApplyMs - kDeafMs);
+        INFO("change " << i);
+        REQUIRE(fleet.spread(host)->version() == fleet.spread(fleet.firstWatcher("zone-0"))->version());
+    }
+    REQUIRE(fleet.rules.violations.empty());
+}
--- a/tests/membershipfleet.h
+++ b/tests/membershipfleet.h
@@ -53,6 +53,10 @@
         {
             fleet.send(*this, to, message);
         }
+        void sendReliably(const SocketAddress &to, const wire::Envelope &message) override
+        {
+            fleet.send(*this, to, message, true);
+        }
         wire::HostRecord record;
         Fleet &fleet;
         SeededRandom random;
@@ -137,7 +141,7 @@
         }
         return std::nullopt;
     }
-    void send(Node &from, const SocketAddress &to, wire::Envelope message)
+    void send(Node &from, const SocketAddress &to, wire::Envelope message, bool reliable = false)
     {
         const wire::HostRecord &self = from.core->records().front();
         message.header.host = self.host;
@@ -154,13 +158,13 @@
         traffic.bytes += countBytes ? encodedBytes(message) : 0;
         const auto target = m_byAddress.find(to);
         if ((tamper && !tamper(from, message)) || target == m_byAddress.end()
-            || (blocked && blocked(from, *target->second))) {
+            || (blocked && blocked(from, *target->second)) || (!reliable && muted.contains(from.record.host))) {
             return;
         }
         const auto shared = std::make_shared<const wire::Envelope>(std::move(message));
         const int copies = chance(faults.doublePercent) ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
-            if (!chance(faults.lossPercent)) {
+            if (reliable || !chance(faults.lossPercent)) {
                 const auto spread = static_cast<std::uint64_t>(faults.maxDelayMs - faults.minDelayMs + 1);
                 const TimeMs delay = faults.minDelayMs + static_cast<TimeMs>(random.below(spread));
                 scheduler.at(scheduler.now + delay, [this, node = target->second, shared] { deliver(*node, shared); });
@@ -279,6 +283,7 @@
     NetworkFaults faults;
     std::vector<std::unique_ptr<Node>> nodes;
     std::function<bool(const Node &, const Node &)> blocked; ///< whether messages between two nodes are dropped
+    std::set<std::string> muted; ///< hosts whose datagrams are lost on the way out
     std::function<bool(const Node &, wire::Envelope &)> tamper; ///< changes a message, or drops it by false
     std::optional<std::string> violation; ///< first fall of an incarnation
     bool countBytes = false;
--- a/tests/spreadfleet.h
+++ b/tests/spreadfleet.h
@@ -240,7 +240,11 @@
 
         void send(const SocketAddress &to, const wire::Envelope &message) override
         {
-            fleet.deliver(*this, to.port, message);
+            fleet.deliver(*this, to.port, message, false);
+        }
+        void sendReliably(const SocketAddress &to, const wire::Envelope &message) override
+        {
+            fleet.deliver(*this, to.port, message, true);
         }
 
         void get(std::string_view kind, std::string_view name, StoreCallback callback) override
@@ -316,7 +320,7 @@
         std::deque<std::function<void()>> inbox;
     };
 
-    void deliver(Node &from, std::size_t to, const wire::Envelope &original)
+    void deliver(Node &from, std::size_t to, const wire::Envelope &original, bool reliable)
     {
         auto message = std::make_shared<wire::Envelope>(original);
         message->header.host = from.member.host;
@@ -331,7 +335,7 @@
         const bool cut = !parted.empty() && from.member.zone != target.member.zone
             && (parted == from.member.zone || parted == target.member.zone);
         const bool lost = muted.contains(from.member.control.port) || deaf.contains(to);
-        if (cut || lost || random.chance(network.lossPerMille)) {
+        if (cut || (!reliable && (lost || random.chance(network.lossPerMille)))) {
             return;
         }
         if (alterMessage) {
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -71,7 +71,8 @@
 // intervalBegin is above intervalEnd. It answers with a PushAck when `ackWanted` is set and it holds the version.
 struct Push { 1: Content content, 2: i64 intervalBegin, 3: i64 intervalEnd, 4: bool ackWanted }
 struct PushAck { 1: i64 version }
-struct Pull { 1: i64 haveVersion, 2: bool full }
+// One that sets `reliable` comes over a connection, because datagrams seem to be lost, and is answered over one.
+struct Pull { 1: i64 haveVersion, 2: bool full, 3: optional bool reliable }
 // Answer to a Pull or a Digest that would need a full manifest while the sender already sends too many.
 struct PullRefusal { 1: i32 retryAfterMs }
 
