Count answers to callers on the link of the host

Callers saw 404 and old configurations on hosts of a service with large answers (CONFIG), and nested calls to them that ended late.

Cause: large answers to other nodes were held to 0.9 of the link's rate, and what the host sent to its own callers came on top.

Change: answers to callers take tokens of the pacer, so large answers make room for them. The debt is bounded by 400 ms, because no heartbeat leaves in the middle of a large message.

--- a/include/fulmarledge/linkpacer.h
+++ b/include/fulmarledge/linkpacer.h
@@ -35,9 +35,10 @@
     TimeMs m_refilledAt = 0;
 };
 
-/// Large answers that wait for the host's link, readable by any thread without a lock.
+/// Use of the host's link, readable and writable by any thread without a lock.
 struct LinkGauge {
-    std::atomic<std::ptrdiff_t> waitingBytes{0};
+    std::atomic<std::ptrdiff_t> waitingBytes{0}; ///< large answers to other nodes that wait for the link
+    std::atomic<std::size_t> callerBytes{0}; ///< answers sent to callers, until a pacer has counted them
 };
 
 /// Rate of a link for answers, in bytes per ms.
--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -20,6 +20,8 @@
 /// leaves the other half for another data centre. Large answers cost the links between data centres most.
 constexpr TimeMs kZonePercent = 50;
 constexpr TimeMs kLargeZonePercent = 90;
+/// Size of the header of an answer to a caller, for the use of the link.
+constexpr std::size_t kHeadBytes = 300;
 
 wire::HopResponse toResponse(HopOutcome &&outcome)
 {
@@ -402,6 +404,7 @@
                       work.version};
     m_state.settings.dialect->addAnswerFields(notes, fields);
     if (action.reason != Reason::CallerGone) {
+        m_state.settings.hopConfig.gauge->callerBytes.fetch_add(body.size() + kHeadBytes, std::memory_order_relaxed);
         work.request->call.responder->send(action.status, fields, std::move(body));
     }
 }
--- a/src/adapters/hop.cpp
+++ b/src/adapters/hop.cpp
@@ -241,10 +241,20 @@
     m_config.gauge->waitingBytes.fetch_add(bytes, std::memory_order_relaxed);
 }
 
+// Answers to callers leave through the same link and are not held back.
+void HopServer::countCallerBytes(TimeMs now)
+{
+    const std::size_t bytes = m_config.gauge->callerBytes.exchange(0, std::memory_order_relaxed);
+    if (bytes > 0) {
+        m_pacer.sent(bytes, now);
+    }
+}
+
 void HopServer::writeLargeFrames()
 {
     while (!m_writers.empty()) {
         const TimeMs now = monotonicMs();
+        countCallerBytes(now);
         const std::size_t allowed = m_pacer.allowed(now);
         if (allowed == 0) {
             m_loop.cancel(m_writeTimer);
--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -228,6 +228,7 @@
     void wroteSmall(std::size_t bytes) override;
     void waitingChanged(std::ptrdiff_t bytes) override;
     void writeLargeFrames();
+    void countCallerBytes(TimeMs now);
 
     IoLoop &m_loop;
     HopConfig m_config;
--- a/src/core/linkpacer.cpp
+++ b/src/core/linkpacer.cpp
@@ -13,6 +13,9 @@
 /// Large messages that may leave at once, as time on the link: a small message waits about as long behind them. Long
 /// enough to make up for wake-ups that come late.
 constexpr double kBurstMs = 40;
+/// Longest wait for what others have sent. No heartbeat leaves in the middle of a large message, so the wait has to
+/// stay below the silence after which a peer closes its connection.
+constexpr double kMaxDebtMs = 400;
 /// Time on the link between two wake-ups.
 constexpr double kSegmentMs = 10;
 
@@ -44,7 +47,7 @@
 void LinkPacer::sent(std::size_t bytes, TimeMs now)
 {
     refill(now);
-    m_tokens -= static_cast<double>(bytes);
+    m_tokens = std::max(m_tokens - static_cast<double>(bytes), -m_bytesPerMs * kMaxDebtMs);
 }
 
 std::size_t LinkPacer::allowed(TimeMs now)
--- a/tests/adapter_hop.cpp
+++ b/tests/adapter_hop.cpp
@@ -230,6 +230,32 @@
     server->closeAll();
 }
 
+// Guards against a link that is filled by answers to callers and by large answers to other nodes together.
+TEST_CASE("large answers make room on the link for answers to callers")
+{
+    HopConfig config = fastConfig();
+    config.silenceMs = 2000;
+    config.answerBytesPerMs = 1000;
+    IoLoop loop;
+    std::unique_ptr<HopServer> server;
+    server
+        = std::make_unique<HopServer>(loop, config,
+                                      HopServer::Handlers{[&](HopCallId call, wire::HopRequest &&) {
+                                                              config.gauge->callerBytes += 300000;
+                                                              server->reply(call, hopAnswer(std::string(20000, 'x')));
+                                                          },
+                                                          [](HopCallId) {}});
+    const HopListener listener(loop, {"127.0.0.1", kPort}, [&](int fd) { server->accept(fd); });
+    HopClient client(loop, fastConfig());
+    std::atomic<int> count{0};
+    const TimeMs begin = monotonicMs();
+    client.send({"127.0.0.1", kPort}, hopRequest("one"), [&](HopOutcome) { ++count; });
+    runUntil(loop, [&] { return count == 1; });
+    // 300 KB at 1 KB/ms, of which 40 KB may leave at once.
+    CHECK(monotonicMs() - begin >= 250);
+    server->closeAll();
+}
+
 // Guards against bytes spent on an answer that nobody waits for, and against a count that drifts.
 TEST_CASE("a large answer whose request was cancelled does not leave")
 {
--- a/tests/core_linkpacer.cpp
+++ b/tests/core_linkpacer.cpp
@@ -104,6 +104,16 @@
     CHECK(used < 0.92);
 }
 
+// Guards against a connection that a peer closes as silent while the rest of a large message waits.
+TEST_CASE("what others send holds a large message up for less than the silence of a connection")
+{
+    constexpr TimeMs kHopSilenceMs = 900; // deploy/node.ini
+    LinkPacer pacer(answerRate(7.5));
+    pacer.sent(100 * 1000 * 1000, 0);
+    CHECK(pacer.allowed(0) == 0);
+    CHECK(pacer.waitMs(0) <= kHopSilenceMs / 2);
+}
+
 TEST_CASE("a link without a rate is not paced")
 {
     CHECK_FALSE(LinkPacer(answerRate(0)).isActive());
