Probe over a connection before a member is suspected

Cause: only datagrams proved that a host lives. A host whose datagrams are lost cannot answer a probe, nor refute a suspicion, nor get answers to its own.

Change: a probe without a direct answer is repeated over a connection beside the indirect ones, and so is the message that tells a host of its suspicion; both are answered over a connection.

Test: 20 members, one of which loses all its datagrams for 30 s.

--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -774,6 +774,11 @@
 void Ping::__set_target(const std::string& val) {
   this->target = val;
 }
+
+void Ping::__set_reliable(const bool val) {
+  this->reliable = val;
+__isset.reliable = true;
+}
 std::ostream& operator<<(std::ostream& out, const Ping& obj)
 {
   obj.printTo(out);
@@ -818,6 +823,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reliable);
+          this->__isset.reliable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -843,6 +856,11 @@
   xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.reliable) {
+    xfer += oprot->writeFieldBegin("reliable", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->reliable);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -852,28 +870,33 @@
   using ::std::swap;
   swap(a.sequence, b.sequence);
   swap(a.target, b.target);
+  swap(a.reliable, b.reliable);
   swap(a.__isset, b.__isset);
 }
 
 Ping::Ping(const Ping& other10) {
   sequence = other10.sequence;
   target = other10.target;
+  reliable = other10.reliable;
   __isset = other10.__isset;
 }
 Ping::Ping(Ping&& other11) noexcept {
   sequence = other11.sequence;
   target = std::move(other11.target);
+  reliable = other11.reliable;
   __isset = other11.__isset;
 }
 Ping& Ping::operator=(const Ping& other12) {
   sequence = other12.sequence;
   target = other12.target;
+  reliable = other12.reliable;
   __isset = other12.__isset;
   return *this;
 }
 Ping& Ping::operator=(Ping&& other13) noexcept {
   sequence = other13.sequence;
   target = std::move(other13.target);
+  reliable = other13.reliable;
   __isset = other13.__isset;
   return *this;
 }
@@ -882,6 +905,7 @@
   out << "Ping(";
   out << "sequence=" << to_string(sequence);
   out << ", " << "target=" << to_string(target);
+  out << ", " << "reliable="; (__isset.reliable ? (out << to_string(reliable)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -359,9 +359,10 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _Ping__isset {
-  _Ping__isset() : sequence(false), target(false) {}
+  _Ping__isset() : sequence(false), target(false), reliable(false) {}
   bool sequence :1;
   bool target :1;
+  bool reliable :1;
 } _Ping__isset;
 
 class Ping : public virtual ::apache::thrift::TBase {
@@ -373,12 +374,14 @@
   Ping& operator=(Ping&&) noexcept;
   Ping() noexcept
        : sequence(0),
-         target() {
+         target(),
+         reliable(0) {
   }
 
   virtual ~Ping() noexcept;
   int64_t sequence;
   std::string target;
+  bool reliable;
 
   _Ping__isset __isset;
 
@@ -386,12 +389,18 @@
 
   void __set_target(const std::string& val);
 
+  void __set_reliable(const bool val);
+
   bool operator == (const Ping & rhs) const
   {
     if (!(sequence == rhs.sequence))
       return false;
     if (!(target == rhs.target))
       return false;
+    if (__isset.reliable != rhs.__isset.reliable)
+      return false;
+    else if (__isset.reliable && !(reliable == rhs.reliable))
+      return false;
     return true;
   }
   bool operator != (const Ping &rhs) const {
--- a/src/core/membership_p.h
+++ b/src/core/membership_p.h
@@ -163,7 +163,7 @@
     void startProbe(std::uint32_t slot);
     void expireProbes();
     void failProbe(Probe &probe);
-    void sendPing(std::uint32_t slot, std::int64_t sequence);
+    void sendPing(std::uint32_t slot, std::int64_t sequence, bool reliable = false);
     void probeTombstones();
     void challenge(std::uint32_t slot, const SocketAddress &address);
     void onPing(const wire::Envelope &message);
--- a/src/core/probe.cpp
+++ b/src/core/probe.cpp
@@ -48,7 +48,7 @@
     sendPing(slot, sequence);
 }
 
-void Membership::Private::sendPing(std::uint32_t slot, std::int64_t pingSequence)
+void Membership::Private::sendPing(std::uint32_t slot, std::int64_t pingSequence, bool reliable)
 {
     const wire::HostRecord &record = table.record(slot);
     wire::Envelope ping;
@@ -60,7 +60,12 @@
         ping.updates.push_back(record);
         ping.updates.push_back(self());
     }
-    transport.send(controlAddress(record), ping);
+    if (reliable) {
+        ping.ping.__set_reliable(true);
+        transport.sendReliably(controlAddress(record), ping);
+    } else {
+        transport.send(controlAddress(record), ping);
+    }
 }
 
 void Membership::Private::expireProbes()
@@ -75,6 +80,8 @@
         } else if (!probe.indirect) {
             probe.indirect = true;
             probe.deadline = now + settings.indirectTimeoutMs;
+            // The link of a live host may be full, which loses datagrams and only slows connections down.
+            sendPing(slot, probe.sequence, true);
             wire::Envelope request;
             request.__isset.pingReq = true;
             request.pingReq.sequence = probe.sequence;
@@ -111,7 +118,7 @@
     const std::uint32_t slot = table.find(probe.target);
     if (table.record(slot).liveness == wire::Liveness::Alive) {
         setLiveness(slot, wire::Liveness::Suspect);
-        sendPing(slot, ++sequence);
+        sendPing(slot, ++sequence, true);
     }
 }
 
@@ -162,7 +169,12 @@
     if (sender == kNoSlot || !isLive(table.record(sender))) {
         ack.updates.push_back(self());
     }
-    transport.send({message.header.address, static_cast<std::uint16_t>(message.header.controlPort)}, ack);
+    const SocketAddress prober{message.header.address, static_cast<std::uint16_t>(message.header.controlPort)};
+    if (message.ping.reliable) {
+        transport.sendReliably(prober, ack);
+    } else {
+        transport.send(prober, ack);
+    }
 }
 
 void Membership::Private::onPingReq(const wire::Envelope &message)
--- a/tests/core_membershipfaults.cpp
+++ b/tests/core_membershipfaults.cpp
@@ -44,6 +44,23 @@
 
 } // namespace
 
+// Guards against a live host that is held for dead because its datagrams are lost on a full link.
+TEST_CASE("a host whose datagrams are lost is held for alive and holds nobody for dead")
+{
+    for (const std::uint64_t seed : seeds(5)) {
+        INFO("seed " << seed);
+        Fleet fleet(seed, smallFleet(20));
+        fleet.addMany(20);
+        REQUIRE(joinAll(fleet));
+        const std::string host = fleet.nodes[7]->record.host;
+        fleet.muted.insert(host);
+        fleet.run(30000);
+        CHECK(fleet.counted("membership_deaths") == 0);
+        CHECK(text(fleet.heldDead(host)) == "none");
+        CHECK(text(fleet.violation) == "none");
+    }
+}
+
 // Guards against a fleet that never becomes one after all hosts start with nothing kept.
 TEST_CASE("hosts that start together hold the same table")
 {
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -39,7 +39,8 @@
   6: i32 controlPort
 }
 
-struct Ping { 1: i64 sequence, 2: string target }
+// One that sets `reliable` comes over a connection, because datagrams seem to be lost, and is answered over one.
+struct Ping { 1: i64 sequence, 2: string target, 3: optional bool reliable }
 struct PingReq { 1: i64 sequence, 2: string target }
 struct Ack { 1: i64 sequence, 2: string subject }
 
