--- a/include/fulmarledge/ports.h
+++ b/include/fulmarledge/ports.h
@@ -79,6 +79,16 @@
     virtual void sendReliably(const SocketAddress &to, const wire::Envelope &message) = 0;
 };
 
+/// Sends over a connection if `reliable`, else as a datagram where the message fits one.
+inline void sendTo(PeerTransport &transport, const SocketAddress &to, const wire::Envelope &message, bool reliable)
+{
+    if (reliable) {
+        transport.sendReliably(to, message);
+    } else {
+        transport.send(to, message);
+    }
+}
+
 class RandomSource
 {
 public:
--- a/src/core/probe.cpp
+++ b/src/core/probe.cpp
@@ -62,10 +62,8 @@
     }
     if (reliable) {
         ping.ping.__set_reliable(true);
-        transport.sendReliably(controlAddress(record), ping);
-    } else {
-        transport.send(controlAddress(record), ping);
     }
+    sendTo(transport, controlAddress(record), ping, reliable);
 }
 
 void Membership::Private::expireProbes()
@@ -170,11 +168,7 @@
         ack.updates.push_back(self());
     }
     const SocketAddress prober{message.header.address, static_cast<std::uint16_t>(message.header.controlPort)};
-    if (message.ping.reliable) {
-        transport.sendReliably(prober, ack);
-    } else {
-        transport.send(prober, ack);
-    }
+    sendTo(transport, prober, ack, message.ping.reliable);
 }
 
 void Membership::Private::onPingReq(const wire::Envelope &message)
--- a/src/core/spread_p.h
+++ b/src/core/spread_p.h
@@ -113,13 +113,15 @@
 
     // Lag and its repair from the platform (spreadrepair.cpp).
     void noteVersion(const wire::Header &from, Version version);
+    /// Reads the platform when peers do not bring a version: the way that needs neither the failure detector nor the
+    /// watchers nor a pull.
     void tickRepair();
+    /// Notes and reports since when this node has known of a version above its own.
+    void tickLag();
     /// Whether a later version has been known for so long that a push or a pull should have brought it.
-    bool isLate() const
-    {
-        return m_behindSince && m_now - *m_behindSince >= m_settings.repairAfterMs;
-    }
-    void reportLag();
+    bool isLate() const;
+    /// Why the platform has to be read, or empty.
+    std::string_view repairReason() const;
 
     // Digests and pulls (spreaddigest.cpp).
     void onDigest(const wire::Header &from, const wire::Digest &digest);
--- a/src/core/spreaddigest.cpp
+++ b/src/core/spreaddigest.cpp
@@ -89,11 +89,7 @@
         message.__set_content(content);
         m_metrics.count("spread_answers", content.__isset.full ? "full" : "delta", 1);
     }
-    if (reliable) {
-        m_peers.sendReliably(addressOf(from), message);
-    } else {
-        m_peers.send(addressOf(from), message);
-    }
+    sendTo(m_peers, addressOf(from), message, reliable);
 }
 
 void Spread::Private::onContentMessage(const wire::Header &from, const wire::Content &content)
@@ -143,11 +139,7 @@
                 "from=" + source->host + " held=" + std::to_string(pull.haveVersion)
                     + " known=" + std::to_string(source->version) + " full=" + (pull.full ? "yes" : "no")
                     + " reliable=" + (pull.reliable ? "yes" : "no"));
-    if (pull.reliable) {
-        m_peers.sendReliably(source->address, message);
-    } else {
-        m_peers.send(source->address, message);
-    }
+    sendTo(m_peers, source->address, message, pull.reliable);
 }
 
 } // namespace fulmarledge
--- a/src/core/spreadrepair.cpp
+++ b/src/core/spreadrepair.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "spread_p.h"
 
@@ -25,38 +26,35 @@
     }
 }
 
-/// The way of a version that needs no peer: neither the failure detector, nor the watchers, nor a pull.
-void Spread::Private::tickRepair()
+bool Spread::Private::isLate() const
 {
-    const Version held = m_held.newestVersion();
-    // A node that has just started follows the window of a returning fleet.
-    const bool behind = m_running.version > 0 && std::max(m_reportedVersion, headTarget().version) > held;
-    if (behind && !m_behindSince) {
-        m_behindSince = m_now;
-        m_nextLagReportAt = m_now + kLagReportMs;
-    }
-    reportLag();
-    if (!behind) {
-        m_behindSince.reset();
+    return m_behindSince && m_now - *m_behindSince >= m_settings.repairAfterMs;
+}
+
+std::string_view Spread::Private::repairReason() const
+{
+    if (isLate()) {
+        return "behind";
     }
-    const bool late = isLate();
     const bool quiet = m_running.version > 0 && m_members.liveCount() > 1 && m_now - m_heardAt >= m_settings.quietMs;
-    const bool repairing = late || quiet;
-    if (repairing != m_repairing) {
-        m_repairing = repairing;
-        m_log.event(repairing ? "repair-start" : "repair-end",
-                    std::string("reason=")
-                        + (late        ? "behind"
-                               : quiet ? "quiet"
-                                       : "none")
-                        + " held=" + std::to_string(held) + " known=" + std::to_string(m_reportedVersion));
-        if (!repairing) {
-            m_reader.cancelReadOnce();
-        }
+    return quiet ? "quiet" : "";
+}
+
+void Spread::Private::tickRepair()
+{
+    tickLag();
+    const std::string_view reason = repairReason();
+    const bool wasRepairing = std::exchange(m_repairing, !reason.empty());
+    if (m_repairing != wasRepairing) {
+        m_log.event(m_repairing ? "repair-start" : "repair-end",
+                    "reason=" + std::string(m_repairing ? reason : "none") + " held="
+                        + std::to_string(m_held.newestVersion()) + " known=" + std::to_string(m_reportedVersion));
     }
-    if (m_repairing && m_now >= m_nextRepairAt) {
+    if (!m_repairing) {
+        m_reader.cancelReadOnce();
+    } else if (m_now >= m_nextRepairAt) {
         m_nextRepairAt = m_now + kRepairPeriodMs;
-        m_metrics.count("spread_repair_reads", late ? "behind" : "quiet", 1);
+        m_metrics.count("spread_repair_reads", reason, 1);
         m_reader.readOnce(m_now + static_cast<TimeMs>(random(windowMs() / kRepairShare)));
         if (m_reader.wanted() != 0) {
             m_reader.want(m_reader.wanted(), headTarget().digest, m_now + fetchDelay());
@@ -64,21 +62,24 @@
     }
 }
 
-void Spread::Private::reportLag()
+void Spread::Private::tickLag()
 {
     const Version held = m_held.newestVersion();
     const Version known = std::max(m_reportedVersion, headTarget().version);
-    if (!m_behindSince) {
-        return;
-    }
-    if (known <= held) {
+    // A node that has just started follows the window of a returning fleet.
+    if (m_running.version == 0 || known <= held) {
         if (m_lagReported) {
             m_log.event("caught-up",
                         "held=" + std::to_string(held) + " behind_ms=" + std::to_string(m_now - *m_behindSince));
         }
         m_lagReported = false;
+        m_behindSince.reset();
         return;
     }
+    if (!m_behindSince) {
+        m_behindSince = m_now;
+        m_nextLagReportAt = m_now + kLagReportMs;
+    }
     if (m_now < m_nextLagReportAt) {
         return;
     }
--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -70,7 +70,7 @@
     schema.addDuration("spread.repair_after",
                        "how long a node that knows of a later version waits for its peers before it reads the platform",
                        "600ms", 50, 60000, spread.repairAfterMs);
-    schema.addDuration("spread.quiet", "how long a node may hear from no member before it reads the platform", "1s",
+    schema.addDuration("spread.quiet", "how long a node may hear from no member before it reads the platform", "2s",
                        100, 60000, spread.quietMs);
     schema.addDuration("spread.head_check", "period of plain reads beside a watch, which may hear nothing", "3s", 500,
                        60000, spread.headCheckMs);
