Let a host that knows no member read the platform like one that hears nobody

Cause: side-ikeja-29 was restarted while the platform was down and knew nobody when it returned. Such a node polled every 4 s, and the repair left it out.

Change: it counts as quiet, with reads spaced by twice the window of a returning fleet; the bound on calls in a restart of the whole fleet holds.

--- a/src/core/spreadrepair.cpp
+++ b/src/core/spreadrepair.cpp
@@ -36,7 +36,7 @@
     if (isLate()) {
         return "behind";
     }
-    const bool quiet = m_running.version > 0 && m_members.liveCount() > 1 && m_now - m_heardAt >= m_settings.quietMs;
+    const bool quiet = m_running.version > 0 && m_now - m_heardAt >= m_settings.quietMs;
     return quiet ? "quiet" : "";
 }
 
@@ -53,7 +53,9 @@
     if (!m_repairing) {
         m_reader.cancelReadOnce();
     } else if (m_now >= m_nextRepairAt) {
-        m_nextRepairAt = m_now + kRepairPeriodMs;
+        // A node that knows no member may be one of a whole fleet that does not.
+        const bool alone = m_members.liveCount() <= 1;
+        m_nextRepairAt = m_now + (alone ? std::max(kRepairPeriodMs, 2 * windowMs()) : kRepairPeriodMs);
         m_metrics.count("spread_repair_reads", reason, 1);
         m_reader.readOnce(m_now + static_cast<TimeMs>(random(windowMs() / kRepairShare)));
         if (m_reader.wanted() != 0) {
--- a/tests/core_spread_lag.cpp
+++ b/tests/core_spread_lag.cpp
@@ -110,3 +110,11 @@
     }
     REQUIRE(fleet.rules.violations.empty());
 }
+
+// Guards against a host that knows no member, as after a start during an outage of the platform, and polls too seldom.
+TEST_CASE("spread lag: a host that knows no member has each change in force within 2 s")
+{
+    LagFleet fleet;
+    fleet.setAlone(true);
+    fleet.requireInForce(fleet.ordinaryHost());
+}
