--- a/src/core/contacts.cpp
+++ b/src/core/contacts.cpp
@@ -21,6 +21,7 @@
 constexpr TimeMs kMinReadSpacingMs = 500;
 constexpr TimeMs kMaxReadSpacingMs = 60000;
 constexpr int kMaxBackoffDoublings = 6;
+constexpr unsigned kMaxPort = 65535;
 
 std::string contactName(std::string_view zone, int index)
 {
@@ -37,10 +38,10 @@
         return contact;
     }
     try {
-        const auto port = value.at("port").get<std::int64_t>();
-        contact.incarnation = value.at("incarnation").get<std::int64_t>();
-        contact.control = {value.at("address").get<std::string>(), static_cast<std::uint16_t>(port)};
-        if (port > 0 && port <= 65535) {
+        const json &port = value.at("port");
+        // The range is checked before the conversion, which is undefined for a number out of range.
+        if (port.is_number_unsigned() && port > 0 && port <= kMaxPort) {
+            contact.control = {value.at("address").get<std::string>(), port.get<std::uint16_t>()};
             contact.host = value.at("host").get<std::string>();
         }
     } catch (const json::exception &) {
