Do not reuse connections with input that belongs to no request

Cause: libcurl reuses a kept connection on which bytes have arrived since its last response. A second copy of an answer was given to the next request, which the project's own interface could not notice, and a repeated refusal made callers rely on 'not run' for a request that ran.

Change: just before a request is written on a kept connection, the client looks for input or a close there, and starts again on a new connection. On the own interface an answer with the id of another request is rejected, as on the users' platform. Response headers are limited to 64 KiB.

--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -5,9 +5,12 @@
 #include <charconv>
 #include <curl/curl.h>
 #include <mutex>
+#include <netinet/in.h>
 #include <stdexcept>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace fulmarledge {
 
@@ -15,15 +18,55 @@
 
 constexpr int kFirstFinalStatus = 200;
 
+/// The open sockets of a client, by their local ports.
+class SocketRegistry
+{
+public:
+    void add(int fd)
+    {
+        m_unconnected.push_back(fd);
+    }
+    void remove(int fd)
+    {
+        std::erase(m_unconnected, fd);
+        std::erase_if(m_byPort, [fd](const auto &entry) { return entry.second == fd; });
+    }
+    /// @return -1 without such a socket
+    int find(int localPort)
+    {
+        for (const int fd : m_unconnected) {
+            sockaddr_in local{};
+            socklen_t size = sizeof(local);
+            if (::getsockname(fd, reinterpret_cast<sockaddr *>(&local), &size) == 0 && local.sin_port != 0) {
+                m_byPort[ntohs(local.sin_port)] = fd;
+            }
+        }
+        std::erase_if(m_unconnected, [this](int fd) {
+            return std::any_of(m_byPort.begin(), m_byPort.end(),
+                               [fd](const auto &entry) { return entry.second == fd; });
+        });
+        const auto found = m_byPort.find(localPort);
+        return found == m_byPort.end() ? -1 : found->second;
+    }
+
+private:
+    std::vector<int> m_unconnected; ///< sockets whose local port is not known yet
+    std::unordered_map<int, int> m_byPort;
+};
+
 struct Transfer {
     std::uint64_t id = 0;
+    SocketRegistry *sockets = nullptr;
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
     HttpRequest request;
     HttpResult result;
     HttpClient::Callback callback;
     int sendCount = 0;
+    std::size_t headerBytes = 0;
     bool bodyTooLarge = false;
+    bool headerTooLarge = false;
+    bool connectionUnusable = false; ///< the kept connection was closed, or had input that belongs to no request
 };
 
 void initCurl()
@@ -58,6 +101,11 @@
 {
     auto *transfer = static_cast<Transfer *>(userData);
     const std::string_view line(data, size * count);
+    transfer->headerBytes += line.size();
+    if (transfer->headerBytes > transfer->request.maxHeaderBytes) {
+        transfer->headerTooLarge = true;
+        return 0;
+    }
     if (line.starts_with("HTTP/")) {
         transfer->result.fields.clear();
         transfer->result.status = parseStatusLine(line);
@@ -84,12 +132,41 @@
     return line.size();
 }
 
+curl_socket_t onOpenSocket(void *userData, curlsocktype, curl_sockaddr *address)
+{
+    const int fd = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (fd >= 0) {
+        static_cast<SocketRegistry *>(userData)->add(fd);
+    }
+    return fd;
+}
+
+int onCloseSocket(void *userData, curl_socket_t fd)
+{
+    static_cast<SocketRegistry *>(userData)->remove(fd);
+    return ::close(fd);
+}
+
+/// Whether a socket on which nothing is expected has been closed by the peer or has input.
+bool hasUnexpectedInput(int fd)
+{
+    char byte = 0;
+    return ::recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 /// libcurl calls this just before it writes the first byte of a request. When the server closes a reused connection
 /// without a response, libcurl sends the request again, which could run it twice. Unless the request allows that, the
 /// second send is aborted here.
-int onBeforeSend(void *userData, char *, char *, int, int)
+int onBeforeSend(void *userData, char *, char *, int, int localPort)
 {
     auto *transfer = static_cast<Transfer *>(userData);
+    if (transfer->sendCount == 0 && !transfer->request.freshConnection) {
+        const int fd = transfer->sockets->find(localPort);
+        if (fd >= 0 && hasUnexpectedInput(fd)) {
+            transfer->connectionUnusable = true;
+            return CURL_PREREQFUNC_ABORT;
+        }
+    }
     ++transfer->sendCount;
     if (transfer->sendCount > 1 && !transfer->request.resendAllowed) {
         return CURL_PREREQFUNC_ABORT;
@@ -111,6 +188,8 @@
     result.verdict = transfer.sendCount == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
     if (transfer.bodyTooLarge) {
         result.reason = Reason::BodyTooLarge;
+    } else if (transfer.headerTooLarge) {
+        result.reason = Reason::ForeignAnswer;
     } else if (result.headerRejected) {
         result.reason = Reason::ForeignAnswer;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -149,10 +228,14 @@
     void finishCompletedTransfers();
     void finishTransfer(CURL *easy, CURLcode code);
     void recycleHandle(Transfer &transfer);
+    /// Starts a transfer again on a new connection. Nothing of it has been written.
+    void restart(std::unique_ptr<Transfer> transfer);
+    void start(std::unique_ptr<Transfer> transfer);
     CURL *acquireHandle();
     static void configureHandle(Transfer &transfer);
 
     IoLoop &loop;
+    SocketRegistry sockets;
     CURLM *multi = nullptr;
     TimerId timer;
     std::uint64_t nextId = 1;
@@ -234,8 +317,12 @@
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &userData);
     const std::uint64_t id = reinterpret_cast<Transfer *>(userData)->id;
     const auto found = transfers.find(id);
-    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    std::unique_ptr<Transfer> transfer = std::move(found->second);
     transfers.erase(found);
+    if (transfer->connectionUnusable && !transfer->request.freshConnection) {
+        restart(std::move(transfer));
+        return;
+    }
     setVerdict(*transfer, code);
     recycleHandle(*transfer);
     transfer->callback(std::move(transfer->result));
@@ -250,6 +337,24 @@
     idleHandles.push_back(transfer.easy);
 }
 
+void HttpClient::Impl::restart(std::unique_ptr<Transfer> transfer)
+{
+    recycleHandle(*transfer);
+    transfer->request.freshConnection = true;
+    transfer->result = {};
+    start(std::move(transfer));
+}
+
+void HttpClient::Impl::start(std::unique_ptr<Transfer> transfer)
+{
+    transfer->easy = acquireHandle();
+    transfer->sockets = &sockets;
+    configureHandle(*transfer);
+    CURL *easy = transfer->easy;
+    transfers.emplace(transfer->id, std::move(transfer));
+    curl_multi_add_handle(multi, easy);
+}
+
 CURL *HttpClient::Impl::acquireHandle()
 {
     if (idleHandles.empty()) {
@@ -296,6 +401,11 @@
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, onOpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer.sockets);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, onCloseSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, transfer.sockets);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.freshConnection ? 1L : 0L);
     const bool methodHasNoBody = request.method == "GET" || request.method == "HEAD";
     if (!methodHasNoBody || !request.body.empty()) {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
@@ -341,12 +451,8 @@
     transfer->id = m_impl->nextId++;
     transfer->request = std::move(request);
     transfer->callback = std::move(callback);
-    transfer->easy = m_impl->acquireHandle();
-    Impl::configureHandle(*transfer);
-    CURL *easy = transfer->easy;
     const std::uint64_t id = transfer->id;
-    m_impl->transfers.emplace(id, std::move(transfer));
-    curl_multi_add_handle(m_impl->multi, easy);
+    m_impl->start(std::move(transfer));
     return {id};
 }
 
--- a/src/adapters/httpclient.h
+++ b/src/adapters/httpclient.h
@@ -26,6 +26,7 @@
     std::int64_t timeoutMs = 10000; ///< for the whole transfer, including the connect
     std::int64_t connectTimeoutMs = 1000;
     std::size_t maxBodyBytes = 64 * 1024 * 1024; ///< a larger response body ends the transfer with BodyTooLarge
+    std::size_t maxHeaderBytes = 64 * 1024; ///< a larger response header ends the transfer with HeaderTooLarge
     /// Longest idle time in seconds after which a connection is still reused. 0 selects libcurl's default.
     long maxIdleSeconds = 0;
     /// Called with the status and the complete header of the final response. Returning false ends the transfer and
@@ -33,6 +34,7 @@
     std::function<bool(int status, const HttpFields &fields)> acceptHeader;
     /// Allows the request to be sent again on a new connection after the server closed a reused one without a response.
     bool resendAllowed = false;
+    bool freshConnection = false; ///< open a new connection for the request
 };
 
 struct HttpResult {
@@ -59,6 +61,9 @@
 std::string_view fieldValue(const HttpFields &fields, std::string_view name);
 
 /// HTTP/1.1 client on one event loop, built on libcurl's multi interface. Must be used on the loop's thread only.
+///
+/// A kept connection on which bytes have arrived since its last response is closed and not reused, because they would
+/// be taken for the response to the next request.
 class HttpClient
 {
 public:
--- a/src/adapters/requestdialect.cpp
+++ b/src/adapters/requestdialect.cpp
@@ -141,8 +141,14 @@
     fields.emplace_back("Fulmarledge-Deadline-Ms", std::to_string(send.remainingMs));
 }
 
-AnswerClassification NativeDialect::classifyAnswer(int status, const HttpFields &fields, const BackendAttempt &) const
+AnswerClassification NativeDialect::classifyAnswer(int status, const HttpFields &fields,
+                                                   const BackendAttempt &send) const
 {
+    // A backend server may return the id of the request. An answer with another id was written for another request.
+    const std::string_view answeredId = fieldValue(fields, "Fulmarledge-Request-Id");
+    if (!answeredId.empty() && answeredId != send.requestId) {
+        return {Verdict::MayHaveRun, Reason::ForeignAnswer};
+    }
     if (status == kServiceUnavailable && fieldValue(fields, "Fulmarledge-Verdict") == "not-run") {
         return {Verdict::NotRun, Reason::ShedLoad};
     }
--- a/src/programs/backendstandin_server.cpp
+++ b/src/programs/backendstandin_server.cpp
@@ -328,7 +328,7 @@
         responder.sendRawAndClose("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
                                   + body.substr(0, body.size() / 2));
     } else {
-        responder.send(200, {{"Content-Type", "text/plain"}}, std::move(body));
+        responder.send(200, {{"Content-Type", "text/plain"}, {"Fulmarledge-Request-Id", job->id}}, std::move(body));
     }
 }
 
--- /dev/null
+++ b/tests/adapter_faultyanswers.cpp
@@ -0,0 +1,210 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <sys/time.h>
+
+#include "datapathfixture.h"
+#include "platformdialect.h"
+
+using namespace datapathtest;
+
+namespace {
+
+constexpr std::uint16_t kCallerPort = 18530;
+constexpr std::uint16_t kHopPort = 18531;
+constexpr std::uint16_t kBackendPort = 18532;
+
+/// Backend server that lets a test write any bytes. Serves one connection after another.
+class RawBackend
+{
+public:
+    /// @param serve runs for each connection, with the number of connections accepted before; the connection is closed
+    /// when it returns
+    explicit RawBackend(std::function<void(int fd, int index)> serve)
+        : m_listener(kBackendPort)
+        , m_thread([this, serve = std::move(serve)] {
+            for (int index = 0; !m_stopping; ++index) {
+                const int fd = m_listener.accept();
+                if (fd < 0) {
+                    return;
+                }
+                const timeval limit{3, 0};
+                setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+                if (!m_stopping) {
+                    ++connections;
+                    serve(fd, index);
+                }
+                ::close(fd);
+            }
+        })
+    {
+    }
+    ~RawBackend()
+    {
+        m_stopping = true;
+        // Ends the wait for a connection.
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_port = htons(kBackendPort);
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::connect(fd, reinterpret_cast<const sockaddr *>(&at), sizeof(at));
+        m_thread.join();
+        ::close(fd);
+    }
+    RawBackend(const RawBackend &) = delete;
+    RawBackend &operator=(const RawBackend &) = delete;
+
+    std::atomic<int> connections{0};
+
+private:
+    std::atomic<bool> m_stopping{false};
+    RawListener m_listener;
+    std::thread m_thread;
+};
+
+/// Reads one request without a body.
+/// @return its header, or nothing when the connection ends
+std::string readRequest(int fd)
+{
+    std::string header;
+    char byte = 0;
+    while (!header.ends_with("\r\n\r\n")) {
+        if (::recv(fd, &byte, 1, 0) <= 0) {
+            return {};
+        }
+        header += byte;
+    }
+    return header;
+}
+
+void write(int fd, const std::string &bytes)
+{
+    ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+std::string answer(const std::string &body, const std::string &id = {}, int status = 200,
+                   const std::string &fields = {})
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields
+        + (id.empty() ? "" : "Fulmarledge-Request-Id: " + id + "\r\n")
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A node beside the backend server at `kBackendPort`.
+struct OneNode {
+    OneNode()
+    {
+        node.path().publish(bookingsSnapshot(5, {hostRecord(1, kHopPort)}));
+        node.path().setLocalBackend({"127.0.0.1", kBackendPort}, "bookings", 4, wire::HostState::Serving, 0);
+    }
+    static HttpResult call(const std::string &id, const std::string &method = "POST")
+    {
+        return fetch(callerRequest(kCallerPort, method, id));
+    }
+
+    TestNode node{1, kCallerPort, kHopPort};
+};
+
+std::string verdictOf(const HttpResult &result)
+{
+    return std::string(fieldValue(result.fields, "Fulmarledge-Verdict"));
+}
+
+} // namespace
+
+// Guards against giving a second copy of an answer to the next request, also when the backend server returns no id.
+TEST_CASE("a second copy of an answer that arrives on an idle connection is given to no request")
+{
+    for (const bool returnsId : {false, true}) {
+        RawBackend backend([&](int fd, int index) {
+            readRequest(fd);
+            const std::string id = returnsId ? (index == 0 ? "first" : "second") : "";
+            const std::string text = answer(index == 0 ? "to first" : "to second", id);
+            write(fd, text);
+            if (index == 0) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                write(fd, text);
+                readRequest(fd);
+            }
+        });
+        const OneNode node;
+        CHECK(OneNode::call("first").body == "to first");
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        const HttpResult second = OneNode::call("second");
+        CHECK(second.status == 200);
+        CHECK(second.body == "to second");
+        CHECK(backend.connections == 2);
+    }
+}
+
+// Guards against taking a copy of an earlier answer for the answer to the running request, and against "not run" or a
+// second run when the copy is a refusal.
+TEST_CASE("a copy of an earlier answer that arrives while a request runs ends it as may have run")
+{
+    for (const bool isRefusal : {false, true}) {
+        std::atomic<int> runs{0};
+        RawBackend backend([&](int fd, int) {
+            const std::string copy = isRefusal ? answer("shed", "first", 503, "Fulmarledge-Verdict: not-run\r\n")
+                                               : answer("to first", "first");
+            readRequest(fd);
+            write(fd, copy);
+            if (!readRequest(fd).empty()) {
+                ++runs;
+                write(fd, copy);
+                readRequest(fd);
+            }
+        });
+        const OneNode node;
+        const HttpResult first = OneNode::call("first");
+        CHECK(first.status == (isRefusal ? 503 : 200));
+        const HttpResult second = OneNode::call("second");
+        CHECK(second.status == 502);
+        CHECK(verdictOf(second) == "may-have-run");
+        CHECK(second.body.find("first") == std::string::npos);
+        CHECK(runs == 1);
+    }
+}
+
+// Guards against the same on the users' platform, where clients take 503 as a promise.
+TEST_CASE("on the users' platform a repeated refusal of another request is no refusal")
+{
+    const HttpFields refusal{{"X-Fulmarledge-Request-Id", "first"}, {"X-Fulmarledge-Not-Executed", "1"}};
+    const PlatformDialect dialect("bookings");
+    for (const int status : {400, 408, 421, 429, 503}) {
+        INFO(status);
+        CHECK(dialect.classifyAnswer(status, refusal, {"first", 100, "i-1"}).verdict == Verdict::NotRun);
+        CHECK(dialect.classifyAnswer(status, refusal, {"second", 100, "i-1"}).verdict == Verdict::MayHaveRun);
+    }
+}
+
+// Guards against an answer that fills the memory or holds its slot until the deadline.
+TEST_CASE("an answer whose header or body does not end is given up at its limit")
+{
+    const std::string line = "X-Filler: " + std::string(1000, 'x') + "\r\n";
+    const std::string starts[]
+        = {"HTTP/1.1 200 X\r\n", "HTTP/1.1 200 X\r\n\r\n", "HTTP/1.1 200 X\r\nContent-Length: 9999999999999\r\n\r\n",
+           "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", ""};
+    for (const std::string &start : starts) {
+        INFO(start);
+        std::atomic<std::size_t> written{0};
+        RawBackend backend([&](int fd, int) {
+            readRequest(fd);
+            write(fd, start);
+            for (int i = 0; i < 100000; ++i) {
+                const std::string bytes
+                    = start.find("chunked") == std::string::npos ? line : "400\r\n" + std::string(1024, 'x') + "\r\n";
+                if (::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
+                    return;
+                }
+                written += bytes.size();
+            }
+        });
+        HttpRequest request = callerRequest(kBackendPort, "POST", "x");
+        request.maxBodyBytes = 1 << 20;
+        const TimeMs begin = monotonicMs();
+        const HttpResult result = fetch(request);
+        CHECK(result.verdict == Verdict::MayHaveRun);
+        CHECK(result.body.size() <= std::size_t{1} << 20);
+        CHECK(monotonicMs() - begin < request.timeoutMs);
+    }
+}
