Keep the work of a silent node, and finish answers before a planned exit

Cause: silence of a hop connection for hop.silence ended its requests on both sides. A node that was paused for a second lost the work that ran beside it, its own timers ended all of its connections when it went on, and requests that must not run twice were answered 'may have run' although their answers came. A stopping node counted a request as over when its answer was queued, not when it was written, so that large answers were cut.

Change: silence is counted in heartbeat periods of this process. A silent connection is replaced by a second one. Requests that may run twice end as before, and the peer is told to cancel them. The others wait for their answer unless the peer is heard on the second connection and the first stays silent. New requests to the peer are refused as not run until it is heard. A node whose caller is silent lets running requests go on and refuses waiting ones. A draining node leaves after 250 ms without anything to finish or send. When the grace time is about to end, it answers the callers that still wait.

Measured: four new tests of adapter_hop; the interface that they need did not exist before.

--- a/include/fulmarledge/requestsession.h
+++ b/include/fulmarledge/requestsession.h
@@ -131,6 +131,8 @@
     SessionActions deadlineReached(TimeMs now);
     /// Cancels the current attempt and ends the session.
     SessionActions callerGone(TimeMs now);
+    /// Cancels the current attempt and answers the caller, because the process is about to exit.
+    SessionActions nodeStopping(TimeMs now);
 
     bool isDone() const
     {
@@ -145,6 +147,8 @@
     {
         return m_attempts;
     }
+    /// Whether the request may run more than once. Valid after `start`.
+    bool isIdempotent() const;
 
 private:
     enum class State : std::uint8_t { New, Dispatched, BackingOff, Done };
@@ -159,7 +163,6 @@
     SessionAction finishUnanswered(Reason reason, const AttemptResult &last);
     /// Reports the end of the current attempt to the view.
     void endAttempt(AttemptEnd end, TimeMs now);
-    bool isIdempotent() const;
 
     SessionRequest m_request;
     ViewPtr m_view;
--- a/src/adapters/backendcalls.cpp
+++ b/src/adapters/backendcalls.cpp
@@ -210,6 +210,16 @@
     }
 }
 
+void BackendCalls::refuseWaiting(std::uint64_t id, Reason reason)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second.dispatched || !isValid(found->second.entry)) {
+        return;
+    }
+    m_backend.cancel(found->second.entry, found->second.key, false, monotonicMs());
+    finish(id, refusal(Verdict::NotRun, reason, 0));
+}
+
 void BackendCalls::armWakeup()
 {
     const std::optional<TimeMs> due = m_backend.nextWakeup();
--- a/src/adapters/backendcalls_p.h
+++ b/src/adapters/backendcalls_p.h
@@ -30,6 +30,8 @@
     /// @return id for `cancel`
     std::uint64_t execute(wire::HopRequest request, bool remote, TimeMs deadline, Done done);
     void cancel(std::uint64_t id);
+    /// Refuses a request that still waits for the slot guard. One that was sent to the backend server goes on.
+    void refuseWaiting(std::uint64_t id, Reason reason);
 
 private:
     struct Job {
--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -21,6 +21,7 @@
 constexpr TimeMs kSpillPercent = 50;
 /// The same for downloads, which stay longer because large answers cost the links between data centres most.
 constexpr TimeMs kDownloadSpillPercent = 90;
+constexpr TimeMs kUnsentReportMs = 20;
 /// Assumed size of the header of an answer to a caller, which is counted as use of the host's link.
 constexpr std::size_t kAnswerHeaderBytes = 300;
 
@@ -90,7 +91,7 @@
     , m_hopClient(m_loop, state.settings.hopConfig)
     , m_hopServer(m_loop, state.settings.hopConfig,
                   {[this](HopCallId call, wire::HopRequest &&request) { onHopRequest(call, std::move(request)); },
-                   [this](HopCallId call) { onHopCancel(call); }})
+                   [this](HopCallId call) { onHopCancel(call); }, [this](HopCallId call) { onHopPeerSilent(call); }})
 {
 }
 
@@ -122,6 +123,33 @@
     m_loop.post([this, fd] { m_hopServer.accept(fd); });
 }
 
+void DataWorker::answerOutstanding()
+{
+    m_loop.post([this] {
+        std::vector<std::uint64_t> ids;
+        for (const auto &[id, active] : m_activeRequests) {
+            ids.push_back(id);
+        }
+        for (const std::uint64_t id : ids) {
+            const auto found = m_activeRequests.find(id);
+            if (found != m_activeRequests.end()) {
+                applyActions(id, found->second.session->nodeStopping(monotonicMs()));
+            }
+        }
+    });
+}
+
+void DataWorker::beginUnsentReports()
+{
+    m_loop.post([this] { reportUnsent(); });
+}
+
+void DataWorker::reportUnsent()
+{
+    m_unsentBytes.store(m_hopServer.unwrittenBytes(), std::memory_order_relaxed);
+    m_loop.runAfter(kUnsentReportMs, [this] { reportUnsent(); });
+}
+
 void DataWorker::beginRequest(std::shared_ptr<CallerRequest> request)
 {
     const std::uint64_t id = m_state.nextSessionId.fetch_add(1, std::memory_order_relaxed);
@@ -280,10 +308,14 @@
     }
     const wire::HostRecord &record = *active.session->view()->backend(action.backend).record;
     const SocketAddress peer{record.address, static_cast<std::uint16_t>(record.hopPort)};
-    active.hopCall = m_hopClient.send(peer, makeHopRequest(active, action), [this, id, attempt](HopOutcome outcome) {
-        const bool hasLoad = outcome.fromPeer;
-        onAttemptFinished(id, attempt, toResponse(std::move(outcome)), hasLoad);
-    });
+    const OnSilence onSilence = active.session->isIdempotent() ? OnSilence::Fail : OnSilence::KeepWaiting;
+    active.hopCall = m_hopClient.send(
+        peer, makeHopRequest(active, action),
+        [this, id, attempt](HopOutcome outcome) {
+            const bool hasLoad = outcome.fromPeer;
+            onAttemptFinished(id, attempt, toResponse(std::move(outcome)), hasLoad);
+        },
+        onSilence);
 }
 
 void DataWorker::onAttemptFinished(std::uint64_t id, AttemptId attempt, wire::HopResponse &&response, bool hasLoad)
@@ -423,6 +455,14 @@
     m_hopCalls[call] = m_calls.execute(std::move(request), true, deadline, reply);
 }
 
+void DataWorker::onHopPeerSilent(HopCallId call)
+{
+    const auto found = m_hopCalls.find(call);
+    if (found != m_hopCalls.end()) {
+        m_calls.refuseWaiting(found->second, Reason::ConnectionLost);
+    }
+}
+
 void DataWorker::onHopCancel(HopCallId call)
 {
     const auto found = m_hopCalls.find(call);
--- a/src/adapters/dataworker_p.h
+++ b/src/adapters/dataworker_p.h
@@ -71,6 +71,15 @@
     void submit(std::shared_ptr<CallerRequest> request);
     /// Serves a connection accepted from another node. Thread-safe.
     void acceptHop(int fd);
+    /// From any thread: ends all requests of callers because the process is about to exit.
+    void answerOutstanding();
+    /// From any thread: updates `unsentBytes` from now on.
+    void beginUnsentReports();
+    /// From any thread: bytes of answers to other nodes that were not handed to the kernel at the last report.
+    std::size_t unsentBytes() const
+    {
+        return m_unsentBytes.load(std::memory_order_relaxed);
+    }
 
 private:
     class Random : public RandomSource
@@ -128,6 +137,8 @@
     void onCallerGone(std::uint64_t id);
     void onHopRequest(HopCallId call, wire::HopRequest &&request);
     void onHopCancel(HopCallId call);
+    void onHopPeerSilent(HopCallId call);
+    void reportUnsent();
 
     RequestPathState &m_state;
     IoLoop m_loop;
@@ -137,6 +148,7 @@
     HopServer m_hopServer;
     std::unordered_map<std::uint64_t, ActiveRequest> m_activeRequests;
     std::map<HopCallId, std::uint64_t> m_hopCalls; ///< requests of other nodes, with their ids in `m_calls`
+    std::atomic<std::size_t> m_unsentBytes{0};
     std::thread m_thread;
 };
 
--- a/src/adapters/hop.cpp
+++ b/src/adapters/hop.cpp
@@ -48,7 +48,7 @@
 
 /// Starts a connection to `address`.
 /// @return its socket, or -1
-int openConnection(const SocketAddress &address)
+int openSocket(const SocketAddress &address)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0) {
@@ -78,26 +78,36 @@
     m_loop.cancel(m_idleTimer);
 }
 
-HopClient::PeerConnection *HopClient::connectionTo(const ConnectionKey &key)
+HopClient::ConnectionId HopClient::openConnection(const ConnectionKey &key)
 {
-    PeerConnection &target = m_peerConnections[key];
-    target.lastUsed = monotonicMs();
-    if (target.connection) {
-        return &target;
-    }
-    const int fd = openConnection(key.first);
+    const int fd = openSocket(key.first);
     if (fd < 0) {
-        m_peerConnections.erase(key);
-        return nullptr;
+        return 0;
     }
-    target.connection = std::make_unique<HopConnection>(
+    const ConnectionId id = m_nextConnectionId++;
+    PeerConnection &opened = m_connections[id];
+    opened.key = key;
+    opened.lastUsed = monotonicMs();
+    opened.connection = std::make_unique<HopConnection>(
         m_loop, fd, true, m_config,
-        HopConnection::Handlers{[this, key](wire::HopFrame &&frame) { onFrame(key, std::move(frame)); },
-                                [this, key] { onClosed(key); }});
-    return &target;
+        HopConnection::Handlers{[this, id](wire::HopFrame &&frame) { onFrame(id, std::move(frame)); },
+                                [this, id] { onClosed(id); }, [this, id] { onSilent(id); }});
+    m_current[key] = id;
+    return id;
 }
 
-std::uint64_t HopClient::send(const SocketAddress &peer, wire::HopRequest request, Callback callback)
+HopClient::ConnectionId HopClient::currentConnection(const ConnectionKey &key)
+{
+    const auto found = m_current.find(key);
+    const ConnectionId id = found != m_current.end() ? found->second : openConnection(key);
+    if (id != 0) {
+        m_connections[id].lastUsed = monotonicMs();
+    }
+    return id;
+}
+
+std::uint64_t HopClient::send(const SocketAddress &peer, wire::HopRequest request, Callback callback,
+                              OnSilence onSilence)
 {
     const std::uint64_t id = m_nextId++;
     const ConnectionKey key{peer, request.bulk};
@@ -106,17 +116,24 @@
     wire::HopFrame frame;
     frame.request = std::move(request);
     frame.__isset.request = true;
-    PeerConnection *target = connectionTo(key);
-    const std::uint64_t position = target == nullptr ? 0 : target->connection->send(frame);
-    m_pending.emplace(id, PendingRequest{key, position, std::move(callback)});
-    if (target != nullptr) {
-        ++target->pending;
-    }
-    if (position == 0) {
-        m_loop.runAfter(0, [this, id, alive = m_alive, found = target != nullptr] {
+    const ConnectionId connection = currentConnection(key);
+    PendingRequest pending{connection, 0, onSilence, std::move(callback)};
+    Reason refusal = Reason::ConnectFailed;
+    if (connection != 0) {
+        PeerConnection &target = m_connections[connection];
+        if (!target.replacesSilent || target.connection->hasReceived()) {
+            refusal = Reason::QueueFull;
+            pending.endPosition = target.connection->send(frame);
+        }
+        ++target.pending;
+    }
+    const bool isQueued = pending.endPosition != 0;
+    m_pending.emplace(id, std::move(pending));
+    if (!isQueued) {
+        m_loop.runAfter(0, [this, id, alive = m_alive, refusal] {
             if (*alive) {
                 HopOutcome outcome;
-                outcome.reason = found ? Reason::QueueFull : Reason::ConnectFailed;
+                outcome.reason = refusal;
                 finish(id, std::move(outcome));
             }
         });
@@ -124,25 +141,30 @@
     return id;
 }
 
+void HopClient::sendCancel(ConnectionId connection, std::uint64_t request)
+{
+    wire::HopFrame frame;
+    wire::HopCancel cancelled;
+    cancelled.__set_id(static_cast<std::int64_t>(request));
+    frame.__set_cancel(cancelled);
+    m_connections[connection].connection->send(frame);
+}
+
 void HopClient::cancel(std::uint64_t id)
 {
     const auto found = m_pending.find(id);
     if (found == m_pending.end()) {
         return;
     }
-    const auto target = m_peerConnections.find(found->second.connection);
-    if (target != m_peerConnections.end() && target->second.connection) {
+    const auto target = m_connections.find(found->second.connection);
+    if (target != m_connections.end()) {
         --target->second.pending;
-        wire::HopFrame frame;
-        wire::HopCancel cancelled;
-        cancelled.__set_id(static_cast<std::int64_t>(id));
-        frame.__set_cancel(cancelled);
-        target->second.connection->send(frame);
+        sendCancel(target->first, id);
     }
     m_pending.erase(found);
 }
 
-void HopClient::onFrame(const ConnectionKey &key, wire::HopFrame &&frame)
+void HopClient::onFrame(ConnectionId connection, wire::HopFrame &&frame)
 {
     if (!frame.__isset.response) {
         return;
@@ -150,7 +172,7 @@
     const auto id = static_cast<std::uint64_t>(frame.response.id);
     const auto found = m_pending.find(id);
     // An answer is accepted only on the connection that carried its request.
-    if (found == m_pending.end() || found->second.connection != key) {
+    if (found == m_pending.end() || found->second.connection != connection) {
         return;
     }
     HopOutcome outcome;
@@ -168,44 +190,99 @@
         return;
     }
     const Callback callback = std::move(found->second.callback);
-    const auto target = m_peerConnections.find(found->second.connection);
-    if (target != m_peerConnections.end() && target->second.pending > 0) {
+    const auto target = m_connections.find(found->second.connection);
+    if (target != m_connections.end() && target->second.pending > 0) {
         --target->second.pending;
     }
     m_pending.erase(found);
     callback(std::move(outcome));
 }
 
-void HopClient::onClosed(const ConnectionKey &key)
+std::vector<std::uint64_t> HopClient::pendingOn(ConnectionId connection) const
 {
-    const auto target = m_peerConnections.find(key);
-    const std::unique_ptr<HopConnection> closed = std::move(target->second.connection);
-    m_peerConnections.erase(target);
-    std::vector<std::uint64_t> ended;
+    std::vector<std::uint64_t> ids;
     for (const auto &[id, pending] : m_pending) {
-        if (pending.connection == key) {
-            ended.push_back(id);
+        if (pending.connection == connection) {
+            ids.push_back(id);
         }
     }
-    for (const std::uint64_t id : ended) {
+    return ids;
+}
+
+void HopClient::onClosed(ConnectionId connection)
+{
+    const auto target = m_connections.find(connection);
+    const PeerConnection closed = std::move(target->second);
+    m_connections.erase(target);
+    if (const auto current = m_current.find(closed.key); current != m_current.end() && current->second == connection) {
+        m_current.erase(current);
+    }
+    for (const std::uint64_t id : pendingOn(connection)) {
         const auto found = m_pending.find(id);
         if (found == m_pending.end()) {
             continue;
         }
         HopOutcome outcome;
         // A peer cannot have read a frame that was not completely written, so its request certainly did not run.
-        const bool written = found->second.endPosition <= closed->writtenBytes();
-        outcome.verdict = written ? Verdict::MayHaveRun : Verdict::NotRun;
-        outcome.reason = closed->writtenBytes() == 0 ? Reason::ConnectFailed : Reason::ConnectionLost;
+        const std::uint64_t writtenBytes = closed.connection->writtenBytes();
+        outcome.verdict = found->second.endPosition <= writtenBytes ? Verdict::MayHaveRun : Verdict::NotRun;
+        outcome.reason = writtenBytes == 0 ? Reason::ConnectFailed : Reason::ConnectionLost;
+        finish(id, std::move(outcome));
+    }
+}
+
+bool HopClient::isReplacementProven(const ConnectionKey &key) const
+{
+    const auto current = m_current.find(key);
+    return current != m_current.end() && m_connections.at(current->second).connection->hasReceived();
+}
+
+void HopClient::onSilent(ConnectionId connection)
+{
+    PeerConnection &silent = m_connections[connection];
+    const ConnectionKey key = silent.key;
+    if (const auto current = m_current.find(key); current != m_current.end() && current->second == connection) {
+        m_current.erase(current);
+    }
+    if (!m_current.contains(key)) {
+        if (const ConnectionId replacement = openConnection(key)) {
+            m_connections[replacement].replacesSilent = true;
+        }
+    }
+    for (const std::uint64_t id : pendingOn(connection)) {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end() || found->second.onSilence == OnSilence::KeepWaiting) {
+            continue;
+        }
+        // If the peer was only paused, it finds the cancellation when it goes on.
+        sendCancel(connection, id);
+        HopOutcome outcome;
+        outcome.verdict = Verdict::MayHaveRun;
+        outcome.reason = Reason::ConnectionLost;
         finish(id, std::move(outcome));
     }
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end()) {
+        return;
+    }
+    // Answers cannot come over a connection that stays silent although the peer is running.
+    const bool isLost
+        = isReplacementProven(key) && found->second.connection->silentMs() > 2 * m_config.silenceTimeoutMs;
+    if (found->second.pending == 0 || isLost) {
+        onClosed(connection);
+    }
 }
 
 void HopClient::closeIdleConnections()
 {
     const TimeMs now = monotonicMs();
-    std::erase_if(m_peerConnections, [&](const auto &entry) {
-        return entry.second.pending == 0 && now - entry.second.lastUsed >= m_config.idleMs;
+    std::erase_if(m_connections, [&](const auto &entry) {
+        const PeerConnection &idle = entry.second;
+        if (idle.pending > 0 || now - idle.lastUsed < m_config.idleMs) {
+            return false;
+        }
+        std::erase_if(m_current, [&](const auto &current) { return current.second == entry.first; });
+        return true;
     });
     m_idleTimer = m_loop.runAfter(m_config.idleMs, [this] { closeIdleConnections(); });
 }
@@ -287,7 +364,7 @@
     m_accepted[id].connection = std::make_unique<HopConnection>(
         m_loop, fd, false, m_config,
         HopConnection::Handlers{[this, id](wire::HopFrame &&frame) { onFrame(id, std::move(frame)); },
-                                [this, id] { onClosed(id); }},
+                                [this, id] { onClosed(id); }, [this, id] { onSilent(id); }},
         scheduler);
 }
 
@@ -330,6 +407,35 @@
     }
 }
 
+// A silent peer may be paused, and answers reach it when it goes on. Its running requests are not given up.
+void HopServer::onSilent(std::uint64_t connectionId)
+{
+    const AcceptedConnection &silent = m_accepted[connectionId];
+    if (silent.openCalls.empty() && silent.connection->silentMs() > m_config.silentIdleMs) {
+        onClosed(connectionId);
+        return;
+    }
+    if (!m_handlers.onPeerSilent) {
+        return;
+    }
+    std::vector<std::int64_t> ids;
+    for (const auto &[id, open] : silent.openCalls) {
+        ids.push_back(id);
+    }
+    for (const std::int64_t id : ids) {
+        m_handlers.onPeerSilent({connectionId, id});
+    }
+}
+
+std::size_t HopServer::unwrittenBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, accepted] : m_accepted) {
+        bytes += accepted.connection->unwrittenBytes();
+    }
+    return bytes;
+}
+
 void HopServer::reply(HopCallId call, wire::HopResponse response)
 {
     const auto found = m_accepted.find(call.connectionId);
--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "fulmarledge/linkpacer.h"
 #include "fulmarledge/transitclock.h"
@@ -21,7 +22,8 @@
 /// Settings of the TCP connections that carry requests between nodes (hops).
 struct HopConfig {
     std::int64_t heartbeatIntervalMs = 1000; ///< time between heartbeat frames
-    std::int64_t silenceTimeoutMs = 3000; ///< a connection that received nothing for this long is closed
+    std::int64_t silenceTimeoutMs = 3000; ///< a connection that received nothing for this long counts as silent
+    std::int64_t silentIdleMs = 10000; ///< a silent connection on which no request is running is closed after this long
     std::int64_t connectTimeoutMs = 1000;
     std::int64_t idleMs = 60000; ///< a client's connection without requests for this long is closed
     std::size_t maxFrameBytes = 72 * 1024 * 1024; ///< fits an answer body of 64 MiB and the header fields
@@ -55,6 +57,9 @@
     struct Handlers {
         std::function<void(wire::HopFrame &&)> onFrame;
         std::function<void()> onClosed; ///< the last call; the connection may be destroyed in it
+        /// Called in each heartbeat period in which the connection is silent, which may destroy it. Without it a silent
+        /// connection fails.
+        std::function<void()> onSilent = {};
     };
 
     /// @param fd connected socket, or one whose connection is in progress if `connecting`
@@ -87,6 +92,20 @@
     {
         return m_writeInterest;
     }
+    /// Time without input, not counting a time during which this process was paused. Milliseconds.
+    TimeMs silentMs() const
+    {
+        return m_silentMs;
+    }
+    bool hasReceived() const
+    {
+        return m_received;
+    }
+    /// Bytes of queued frames that were not handed to the kernel yet.
+    std::size_t unwrittenBytes() const
+    {
+        return m_out.size() - m_outWritten + m_largeUnwritten;
+    }
     /// Drops the large frame that answers request `id`, unless it has been written in part.
     void dropLargeFrame(std::int64_t id);
     /// Bytes handed to the kernel so far. The peer cannot have read the whole of a frame that ends after this position.
@@ -124,7 +143,8 @@
     TimerId m_heartbeatTimer;
     TimerId m_failTimer;
     TimeMs m_openedAt;
-    TimeMs m_lastRead; ///< not renewed by writes, which the kernel accepts for a silent peer too
+    TimeMs m_silentMs = 0; ///< not reset by writes, which the kernel accepts for a silent peer too
+    bool m_received = false; ///< any byte has arrived
     std::int64_t m_heartbeatsSent = 0;
     std::string m_in;
     std::string m_out; ///< small frames, or all of them without a scheduler
@@ -146,8 +166,17 @@
     bool fromPeer = false; ///< the peer answered; otherwise this node concluded the verdict
 };
 
+/// What becomes of a request when its connection is silent.
+enum class OnSilence : std::uint8_t {
+    Fail, ///< it ends as "may have run", and the peer is told to cancel it
+    KeepWaiting, ///< for work that must not run twice: the peer may be paused and answer later
+};
+
 /// Sends requests to other nodes. Interactive and bulk requests use separate connections, so that a large answer does
 /// not delay small ones. Belongs to the loop's thread.
+///
+/// A silent connection is replaced by a second one. New requests to the peer fail as "not run" until the second one has
+/// received something, which shows that the peer is running. If the first one is still silent then, it is closed.
 class HopClient
 {
 public:
@@ -161,34 +190,49 @@
     /// Sends a request, over a new connection if none is open. Sets `id` and `sentMs` of the request. The callback runs
     /// once, after this call has returned, unless the request is cancelled.
     /// @return id for `cancel`
-    std::uint64_t send(const SocketAddress &peer, wire::HopRequest request, Callback callback);
+    std::uint64_t send(const SocketAddress &peer, wire::HopRequest request, Callback callback,
+                       OnSilence onSilence = OnSilence::Fail);
     /// Tells the peer to cancel the request. An answer that still arrives is dropped.
     void cancel(std::uint64_t id);
 
 private:
     using ConnectionKey = std::pair<SocketAddress, bool>; ///< address, and whether for bulk requests
+    using ConnectionId = std::uint64_t;
     struct PendingRequest {
-        ConnectionKey connection;
+        ConnectionId connection = 0; ///< 0 when it was not queued
         std::uint64_t endPosition = 0; ///< where its frame ends in the stream; 0 when it was not queued
+        OnSilence onSilence = OnSilence::Fail;
         Callback callback;
     };
     struct PeerConnection {
+        ConnectionKey key;
         std::unique_ptr<HopConnection> connection;
         std::size_t pending = 0; ///< requests without an outcome
         TimeMs lastUsed = 0;
+        bool replacesSilent = false; ///< it takes requests only after it has received something
     };
 
-    /// Returns the open connection, or opens one. Null when no socket could be opened.
-    PeerConnection *connectionTo(const ConnectionKey &key);
-    void onFrame(const ConnectionKey &key, wire::HopFrame &&frame);
-    void onClosed(const ConnectionKey &key);
+    /// Returns the id of the connection for new requests, and opens one if there is none. 0 when no socket could be
+    /// opened.
+    ConnectionId currentConnection(const ConnectionKey &key);
+    ConnectionId openConnection(const ConnectionKey &key);
+    void onFrame(ConnectionId connection, wire::HopFrame &&frame);
+    void onClosed(ConnectionId connection);
+    void onSilent(ConnectionId connection);
+    /// Whether the connection for new requests has received something.
+    bool isReplacementProven(const ConnectionKey &key) const;
+    void sendCancel(ConnectionId connection, std::uint64_t request);
     void closeIdleConnections();
     void finish(std::uint64_t id, HopOutcome outcome);
+    /// Ids of the requests on a connection.
+    std::vector<std::uint64_t> pendingOn(ConnectionId connection) const;
 
     IoLoop &m_loop;
     HopConfig m_config;
     std::uint64_t m_nextId = 1;
-    std::map<ConnectionKey, PeerConnection> m_peerConnections;
+    ConnectionId m_nextConnectionId = 1;
+    std::unordered_map<ConnectionId, PeerConnection> m_connections;
+    std::map<ConnectionKey, ConnectionId> m_current; ///< connections for new requests
     std::unordered_map<std::uint64_t, PendingRequest> m_pending;
     TimerId m_idleTimer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
@@ -215,6 +259,8 @@
         std::function<void(HopCallId, wire::HopRequest &&)> onRequest;
         /// The peer cancelled the request, or the connection is closed. No answer is needed.
         std::function<void(HopCallId)> onCancel;
+        /// The peer is silent. A request that has not reached the backend server may be refused. May be empty.
+        std::function<void(HopCallId)> onPeerSilent = {};
     };
 
     HopServer(IoLoop &loop, const HopConfig &config, Handlers handlers);
@@ -228,6 +274,8 @@
     /// that cannot be queued is replaced by the reason BodyTooLarge.
     void reply(HopCallId call, wire::HopResponse response);
     void closeAll();
+    /// Bytes of answers that were not handed to the kernel yet.
+    std::size_t unwrittenBytes() const;
 
 private:
     struct AcceptedConnection {
@@ -238,6 +286,7 @@
 
     void onFrame(std::uint64_t connectionId, wire::HopFrame &&frame);
     void onClosed(std::uint64_t connectionId);
+    void onSilent(std::uint64_t connectionId);
     void onLargeFrameReady(HopConnection &connection) override;
     void onSmallFramesWritten(std::size_t bytes) override;
     void onWaitingBytesChanged(std::ptrdiff_t bytes) override;
--- a/src/adapters/hopconnection.cpp
+++ b/src/adapters/hopconnection.cpp
@@ -78,7 +78,6 @@
     , m_config(config)
     , m_handlers(std::move(handlers))
     , m_openedAt(monotonicMs())
-    , m_lastRead(m_openedAt)
     , m_scheduler(scheduler)
 {
     m_loop.addFd(m_fd, EPOLLIN | (connecting ? EPOLLOUT : 0U), [this](std::uint32_t events) { onEvents(events); });
@@ -105,8 +104,7 @@
     const std::size_t oldSize = m_out.size();
     appendFrame(m_out, frame);
     const std::size_t frameBytes = m_out.size() - oldSize;
-    const std::size_t unwritten = m_out.size() - m_outWritten + m_largeUnwritten;
-    if (frameBytes > m_config.maxFrameBytes || unwritten > m_config.maxOutstandingBytes) {
+    if (frameBytes > m_config.maxFrameBytes || unwrittenBytes() > m_config.maxOutstandingBytes) {
         m_out.resize(oldSize);
         return 0;
     }
@@ -231,7 +229,6 @@
             return;
         }
         m_connecting = false;
-        m_lastRead = monotonicMs();
     }
     const std::shared_ptr<bool> alive = m_alive;
     const bool open = readAvailable();
@@ -266,7 +263,8 @@
             return false;
         }
         m_in.append(buffer.data(), static_cast<std::size_t>(received));
-        m_lastRead = monotonicMs();
+        m_silentMs = 0;
+        m_received = true;
         readBytes += static_cast<std::size_t>(received);
         if (!parseFrames() || !*alive) {
             return false;
@@ -309,10 +307,12 @@
 
 void HopConnection::onHeartbeatTimer()
 {
-    const TimeMs now = monotonicMs();
-    const bool timedOut
-        = m_connecting ? now - m_openedAt >= m_config.connectTimeoutMs : now - m_lastRead >= m_config.silenceTimeoutMs;
-    if (timedOut) {
+    // One period is counted also when the timer is late. This process may have been paused, and input that arrived
+    // meanwhile has not been read yet.
+    m_silentMs += m_connecting ? 0 : m_config.heartbeatIntervalMs;
+    const bool isSilent = m_silentMs > m_config.silenceTimeoutMs;
+    const bool connectTimedOut = m_connecting && monotonicMs() - m_openedAt >= m_config.connectTimeoutMs;
+    if (connectTimedOut || (isSilent && !m_handlers.onSilent)) {
         fail();
         return;
     }
@@ -325,6 +325,9 @@
         frame.__set_beat(beat);
         send(frame);
     }
+    if (isSilent && !m_failed) {
+        m_handlers.onSilent();
+    }
 }
 
 } // namespace fulmarledge
--- a/src/adapters/httpconnection.cpp
+++ b/src/adapters/httpconnection.cpp
@@ -241,6 +241,7 @@
 
 void HttpConnection::writeWhenWritable(std::string rest)
 {
+    m_unsentResponses.fetch_add(1, std::memory_order_relaxed);
     m_writeLoop.post([self = shared_from_this(), unsent = std::make_shared<std::string>(std::move(rest))] {
         self->m_writeLoop.addFd(self->m_fd, EPOLLOUT, [self, unsent](std::uint32_t) {
             const bool connected = self->writeAvailable(*unsent);
@@ -249,6 +250,7 @@
             }
             // The event loop keeps this handler alive until it returns, and the handler keeps the connection alive.
             self->m_writeLoop.removeFd(self->m_fd);
+            self->m_unsentResponses.fetch_sub(1, std::memory_order_relaxed);
             if (connected) {
                 self->onResponseWritten();
             }
--- a/src/adapters/httpconnection_p.h
+++ b/src/adapters/httpconnection_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -20,13 +21,14 @@
 {
 public:
     HttpConnection(int fd, std::string peerIp, std::size_t maxBodyBytes, std::shared_ptr<const HttpCallHandler> handler,
-                   IoLoop &writeLoop)
+                   IoLoop &writeLoop, std::atomic<std::size_t> &unsentResponses)
         : m_fd(::dup(fd))
         , m_peerIp(std::move(peerIp))
         , m_maxBodyBytes(maxBodyBytes)
         , m_parser(maxBodyBytes)
         , m_handler(std::move(handler))
         , m_writeLoop(writeLoop)
+        , m_unsentResponses(unsentResponses)
     {
     }
     ~HttpConnection()
@@ -67,6 +69,7 @@
     HttpParser m_parser;
     const std::shared_ptr<const HttpCallHandler> m_handler;
     IoLoop &m_writeLoop;
+    std::atomic<std::size_t> &m_unsentResponses; ///< responses of the server that wait for their sockets
     bool m_requestInProgress = false; ///< from the dispatch of a request until its response is written
     bool m_handlingRequests = false; ///< `handleBufferedRequests` is running
     bool m_closed = false;
--- a/src/adapters/httpserver.cpp
+++ b/src/adapters/httpserver.cpp
@@ -27,10 +27,12 @@
 public:
     HTTP_PROTOTYPE(ConnectionHandler)
 
-    ConnectionHandler(std::shared_ptr<const HttpCallHandler> handler, std::size_t maxBodyBytes, IoLoop &writeLoop)
+    ConnectionHandler(std::shared_ptr<const HttpCallHandler> handler, std::size_t maxBodyBytes, IoLoop &writeLoop,
+                      std::atomic<std::size_t> &unsentResponses)
         : m_handler(std::move(handler))
         , m_maxBodyBytes(maxBodyBytes)
         , m_writeLoop(&writeLoop)
+        , m_unsentResponses(&unsentResponses)
     {
     }
 
@@ -48,7 +50,7 @@
         peer->putData(ParserData, std::make_shared<Http::RequestParser>(0));
         peer->putData(kConnectionKey,
                       std::make_shared<HttpConnection>(peer->fd(), peer->address().host(), m_maxBodyBytes, m_handler,
-                                                       *m_writeLoop));
+                                                       *m_writeLoop, *m_unsentResponses));
     }
     void onInput(const char *buffer, std::size_t length, const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
     {
@@ -65,6 +67,7 @@
     std::shared_ptr<const HttpCallHandler> m_handler;
     std::size_t m_maxBodyBytes;
     IoLoop *m_writeLoop;
+    std::atomic<std::size_t> *m_unsentResponses;
 };
 
 } // namespace
@@ -82,6 +85,7 @@
         writerThread.join();
     }
 
+    std::atomic<std::size_t> unsentResponses{0};
     IoLoop writeLoop; ///< writes the rest of responses that do not fit the socket's send buffer
     std::thread writerThread;
     Http::Endpoint endpoint;
@@ -101,8 +105,9 @@
     m_impl->endpoint.init(options);
     // Pistache 0.0.5 ignores `Options::backlog`. Initialising the listener again sets the backlog.
     m_impl->endpoint.initArgs(static_cast<std::size_t>(settings.threads), flags, std::string(), kListenBacklog);
-    m_impl->endpoint.setHandler(std::make_shared<ConnectionHandler>(
-        std::make_shared<const HttpCallHandler>(std::move(handler)), settings.maxBodyBytes, m_impl->writeLoop));
+    m_impl->endpoint.setHandler(
+        std::make_shared<ConnectionHandler>(std::make_shared<const HttpCallHandler>(std::move(handler)),
+                                            settings.maxBodyBytes, m_impl->writeLoop, m_impl->unsentResponses));
     m_impl->endpoint.serveThreaded();
 }
 
@@ -111,6 +116,11 @@
     stop();
 }
 
+std::size_t HttpServer::unsentResponses() const
+{
+    return m_impl->unsentResponses.load(std::memory_order_relaxed);
+}
+
 void HttpServer::stop()
 {
     m_impl.reset();
--- a/src/adapters/httpserver.h
+++ b/src/adapters/httpserver.h
@@ -54,6 +54,9 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /// Responses that were given to `HttpResponder::send` and are not completely handed to the kernel. Must not be
+    /// called after `stop`.
+    std::size_t unsentResponses() const;
     /// Closes the listener and ends the server's threads.
     void stop();
 
--- a/src/adapters/requestpath.cpp
+++ b/src/adapters/requestpath.cpp
@@ -158,6 +158,16 @@
 void RequestPath::drain(std::function<void()> onIdle)
 {
     m_shared->state.backend.drain(std::move(onIdle), monotonicMs());
+    for (const auto &worker : m_shared->workers) {
+        worker->beginUnsentReports();
+    }
+}
+
+void RequestPath::answerOutstanding()
+{
+    for (const auto &worker : m_shared->workers) {
+        worker->answerOutstanding();
+    }
 }
 
 void RequestPath::stop()
@@ -182,6 +192,10 @@
     stats.refused = state.refused.load(std::memory_order_relaxed);
     stats.refusedConnections = state.backend.refusedConnections();
     stats.lateAnswers = state.counters.lateAnswers.load(std::memory_order_relaxed);
+    stats.unsent = m_shared->server ? m_shared->server->unsentResponses() : 0;
+    for (const auto &worker : m_shared->workers) {
+        stats.unsent += worker->unsentBytes();
+    }
     return stats;
 }
 
--- a/src/adapters/requestpath.h
+++ b/src/adapters/requestpath.h
@@ -43,6 +43,8 @@
     /// Requests in a row whose connection to the local backend server failed. `setLocalBackend` resets it.
     int refusedConnections = 0;
     std::uint64_t lateAnswers = 0; ///< answers of attempts that were already over
+    /// While draining: answers to callers and bytes of answers to other nodes that are not handed to the kernel yet.
+    std::uint64_t unsent = 0;
 };
 
 /// The data path of a node. Accepts requests of callers and of other nodes, and forwards them to the backend server of
@@ -75,6 +77,9 @@
     /// request is left there.
     void drain(std::function<void()> onIdle);
 
+    /// Ends the callers' requests in progress with an answer that tells whether they may have run.
+    void answerOutstanding();
+
     /// Closes the ports and ends the threads. Requests in progress are aborted.
     void stop();
 
--- a/src/core/requestsession.cpp
+++ b/src/core/requestsession.cpp
@@ -206,6 +206,11 @@
     return cancelAndFail(Reason::CallerGone, AttemptEnd::Cancelled, now);
 }
 
+SessionActions RequestSession::nodeStopping(TimeMs now)
+{
+    return cancelAndFail(Reason::Draining, AttemptEnd::Cancelled, now);
+}
+
 SessionActions RequestSession::cancelAndFail(Reason reason, AttemptEnd end, TimeMs now)
 {
     SessionActions actions;
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -25,6 +25,13 @@
 
 constexpr std::int64_t kTickMs = 50;
 constexpr std::int64_t kDrainPollMs = 20;
+/// How long a draining node must have nothing left to finish or send before it leaves. The kernel is still sending, and
+/// requests of nodes that do not know of the drain yet still arrive.
+constexpr TimeMs kIdleBeforeLeaveMs = 250;
+/// Time before the end of the grace time at which a busy node answers the callers' requests in progress and exits.
+constexpr TimeMs kExitMarginMs = 400;
+/// Time to write these answers.
+constexpr TimeMs kFinalAnswersMs = 150;
 /// Failed connections in a row after which the backend server is taken out of service. A single failure can come from
 /// a full backlog, but once the process has ended every connection is refused.
 constexpr int kRefusedConnectionsLimit = 3;
@@ -380,7 +387,7 @@
 
     /// Starts a graceful shutdown. The node announces that it is draining, refuses callers once the handover time has
     /// passed, finishes the requests in progress and then announces that this host has left. A node that is still busy
-    /// at the end of the grace time exits without finishing.
+    /// when the grace time ends answers these requests and exits.
     void beginShutdown()
     {
         if (m_shuttingDown) {
@@ -392,10 +399,7 @@
                                 m_announcement ? m_announcement->slots : 0,
                                 m_announcement ? m_announcement->warmupLeft : std::nullopt);
         if (m_settings.graceMs > 0) {
-            m_loop.runAfter(m_settings.graceMs, [this] {
-                logEvent("grace-over", "outstanding=" + std::to_string(m_requestPath.stats().outstanding));
-                m_loop.stop();
-            });
+            m_loop.runAfter(std::max<TimeMs>(m_settings.graceMs - kExitMarginMs, 0), [this] { endGrace(); });
         }
         if (m_settings.handoverMs > 0) {
             m_loop.runAfter(m_settings.handoverMs, [this] { beginDrain(); });
@@ -404,6 +408,17 @@
         }
     }
 
+    void endGrace()
+    {
+        const RequestPathStats stats = m_requestPath.stats();
+        logEvent("grace-over",
+                 "outstanding=" + std::to_string(stats.outstanding) + " unsent=" + std::to_string(stats.unsent));
+        m_requestPath.setReady(false, Reason::Draining);
+        m_requestPath.answerOutstanding();
+        m_control.leave(monotonicMs());
+        m_loop.runAfter(kFinalAnswersMs, [this] { m_loop.stop(); });
+    }
+
     void beginDrain()
     {
         m_refusingCallers = true;
@@ -413,7 +428,12 @@
 
     void leaveWhenIdle()
     {
-        if (m_requestPath.stats().outstanding > 0) {
+        const RequestPathStats stats = m_requestPath.stats();
+        const TimeMs now = monotonicMs();
+        if (stats.outstanding > 0 || stats.unsent > 0 || m_idleSinceMs == 0) {
+            m_idleSinceMs = now;
+        }
+        if (now - m_idleSinceMs < kIdleBeforeLeaveMs) {
             m_loop.runAfter(kDrainPollMs, [this] { leaveWhenIdle(); });
             return;
         }
@@ -450,6 +470,7 @@
     bool m_ready = false;
     Reason m_notReadyReason = Reason::NotReady;
     bool m_shuttingDown = false; ///< a graceful shutdown has begun
+    TimeMs m_idleSinceMs = 0; ///< since when a draining node has had nothing to finish or send; 0 before
     bool m_refusingCallers = false; ///< the graceful shutdown has reached the point from which callers are refused
 };
 
--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -103,7 +103,8 @@
     schema.addDuration("node.handover_time",
                        "time from SIGTERM during which callers are still served while readiness is denied", "0ms", 0,
                        60000, settings.handoverMs);
-    schema.addDuration("node.grace_time", "time from SIGTERM to the exit of a node that is still busy; 0: no limit",
+    schema.addDuration("node.grace_time",
+                       "time after SIGTERM at which the process is killed; a busy node exits shortly before; 0: never",
                        "0ms", 0, 600000, settings.graceMs);
     schema.addDuration(
         "spread.replicate_limit",
--- a/tests/adapter_hop.cpp
+++ b/tests/adapter_hop.cpp
@@ -338,3 +338,184 @@
     CHECK(reasons == std::vector<Reason>{Reason::None, Reason::None, Reason::DeadlineExceeded});
     server->closeAll();
 }
+
+namespace {
+
+/// A peer whose process can be paused: while paused, its event loop does not run and its sockets stay open.
+class PausablePeer
+{
+public:
+    explicit PausablePeer(HopServer::Handlers handlers)
+        : server(m_loop, fastConfig(), std::move(handlers))
+        , m_listener(m_loop, {"127.0.0.1", kPort}, [this](int fd) { server.accept(fd); })
+        , m_thread([this] { m_loop.run(); })
+    {
+    }
+    ~PausablePeer()
+    {
+        m_loop.post([this] {
+            server.closeAll();
+            m_loop.stop();
+        });
+        m_thread.join();
+    }
+    PausablePeer(const PausablePeer &) = delete;
+    PausablePeer &operator=(const PausablePeer &) = delete;
+
+    void pause(TimeMs durationMs)
+    {
+        m_loop.post([durationMs] { std::this_thread::sleep_for(std::chrono::milliseconds(durationMs)); });
+    }
+    IoLoop &loop()
+    {
+        return m_loop;
+    }
+
+private:
+    IoLoop m_loop;
+
+public:
+    HopServer server;
+
+private:
+    HopListener m_listener;
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Guards against giving up work that runs at a peer that is only paused, and against running it again.
+TEST_CASE("a request that must not run twice gets its answer from a peer that was paused")
+{
+    std::atomic<int> received{0};
+    std::atomic<int> cancelled{0};
+    PausablePeer *running = nullptr;
+    PausablePeer peer({[&](HopCallId call, wire::HopRequest &&request) {
+                           ++received;
+                           running->loop().runAfter(
+                               1500, [&, call, body = request.body] { running->server.reply(call, hopAnswer(body)); });
+                       },
+                       [&](HopCallId) { ++cancelled; }});
+    running = &peer;
+    IoLoop loop;
+    HopClient client(loop, fastConfig());
+    std::atomic<int> done{0};
+    HopOutcome kept;
+    HopOutcome failed;
+    client.send(
+        {"127.0.0.1", kPort}, hopRequest("keep"),
+        [&](HopOutcome outcome) {
+            kept = std::move(outcome);
+            ++done;
+        },
+        OnSilence::KeepWaiting);
+    client.send({"127.0.0.1", kPort}, hopRequest("fail"), [&](HopOutcome outcome) {
+        failed = std::move(outcome);
+        ++done;
+    });
+    loop.runAfter(50, [&] { peer.pause(1000); });
+    runUntil(loop, [&] { return done == 2 && cancelled == 1; });
+    CHECK(kept.verdict == Verdict::Answered);
+    CHECK(kept.response.body == "keep");
+    CHECK(failed.verdict == Verdict::MayHaveRun);
+    CHECK(received == 2);
+    // The request that was given up at the silence was cancelled at the peer.
+    CHECK(cancelled == 1);
+}
+
+// Guards against new requests that wait for a paused peer while other hosts are free, and against "may have run" for
+// them.
+TEST_CASE("new requests to a silent peer are refused as not run until it is heard again")
+{
+    PausablePeer *running = nullptr;
+    PausablePeer peer({[&](HopCallId call, wire::HopRequest &&request) {
+                           if (request.body != "first") {
+                               running->server.reply(call, hopAnswer(request.body));
+                           }
+                       },
+                       [](HopCallId) {}});
+    running = &peer;
+    IoLoop loop;
+    HopClient client(loop, fastConfig());
+    std::vector<Verdict> verdicts;
+    std::atomic<bool> done{false};
+    client.send(
+        {"127.0.0.1", kPort}, hopRequest("first"), [](HopOutcome) {}, OnSilence::KeepWaiting);
+    loop.runAfter(50, [&] { peer.pause(1000); });
+    for (const TimeMs at : {500, 600, 2000}) {
+        loop.runAfter(at, [&] {
+            client.send({"127.0.0.1", kPort}, hopRequest("next"), [&](HopOutcome outcome) {
+                verdicts.push_back(outcome.verdict);
+                done = verdicts.size() == 3;
+            });
+        });
+    }
+    runUntil(loop, [&] { return done.load(); });
+    CHECK(verdicts == std::vector<Verdict>{Verdict::NotRun, Verdict::NotRun, Verdict::Answered});
+}
+
+// Guards against a request that waits for its deadline on a connection that went silent for good while the peer runs.
+TEST_CASE("a request on a connection that stays silent ends when the peer answers on a new one")
+{
+    const RawListener listener(kPort);
+    std::atomic<bool> stop{false};
+    std::thread peer([&] {
+        const int silent = listener.accept();
+        const int replacement = listener.accept();
+        // The second connection is echoed, so that the client receives its own heartbeats.
+        char buffer[4096];
+        ssize_t got = 0;
+        while ((got = ::recv(replacement, buffer, sizeof(buffer), 0)) > 0 && !stop) {
+            ::send(replacement, buffer, static_cast<std::size_t>(got), MSG_NOSIGNAL);
+        }
+        ::close(silent);
+        ::close(replacement);
+    });
+    IoLoop loop;
+    HopOutcome outcome;
+    std::atomic<bool> done{false};
+    {
+        HopClient client(loop, fastConfig());
+        client.send(
+            {"127.0.0.1", kPort}, hopRequest("x"),
+            [&](HopOutcome got) {
+                outcome = std::move(got);
+                done = true;
+            },
+            OnSilence::KeepWaiting);
+        runUntil(loop, [&] { return done.load(); });
+    }
+    stop = true;
+    peer.join();
+    CHECK(done);
+    CHECK(outcome.verdict == Verdict::MayHaveRun);
+}
+
+// Guards against cancelling requests that run here because the node that sent them is paused.
+TEST_CASE("requests of a silent node go on and waiting ones are reported")
+{
+    IoLoop loop;
+    std::atomic<int> cancelled{0};
+    std::atomic<int> reported{0};
+    std::unique_ptr<HopServer> server;
+    server = std::make_unique<HopServer>(loop, fastConfig(),
+                                         HopServer::Handlers{[](HopCallId, wire::HopRequest &&) {},
+                                                             [&](HopCallId) { ++cancelled; },
+                                                             [&](HopCallId) { ++reported; }});
+    const HopListener listener(loop, {"127.0.0.1", kPort}, [&](int fd) { server->accept(fd); });
+    IoLoop callerLoop;
+    HopClient client(callerLoop, fastConfig());
+    callerLoop.post([&] { client.send({"127.0.0.1", kPort}, hopRequest("x"), [](HopOutcome) {}); });
+    std::thread caller([&] {
+        callerLoop.runAfter(100, [&] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+            callerLoop.stop();
+        });
+        callerLoop.run();
+    });
+    runUntil(loop, [&] { return reported > 0; });
+    CHECK(reported > 0);
+    CHECK(cancelled == 0);
+    caller.join();
+    server->closeAll();
+}
