Take the periods and sizes of a node from the platform's bounds

Cause: deploy/node.ini held periods that were chosen for the deployments known then, and bodies could take 128 MiB on a host with 88 MB.

Measured: tests over a grid of bounds and memory limits.

--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -508,6 +508,8 @@
         std::fprintf(stderr, "fulmarledge-node: %s\n", error.text().c_str());
         return 2;
     case SettingsSchema::Outcome::CheckOnly:
+        deriveSettings(settings);
+        std::fputs(describeDerivedSettings(settings).c_str(), stdout);
         std::puts("settings are valid");
         return 0;
     case SettingsSchema::Outcome::Run:
--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -1,5 +1,7 @@
 #include "node_settings.h"
 
+#include <algorithm>
+
 #include "fulmarledge/linkpacer.h"
 
 namespace fulmarledge {
@@ -9,6 +11,12 @@
 /// When the whole fleet returns at once, the platform may get at most 1,000 reads/s. The spread of manifests takes up
 /// to 649 reads/s and contacts are read at up to 1.2 times this rate, so 250 reads/s keep the sum below the limit.
 constexpr int kContactReadsPerSecond = 250;
+/// Announcements may be lost or late, so that several periods without one do not mean that the backend server is gone.
+constexpr TimeMs kMissedAnnouncements = 4;
+/// Parts of the memory that bodies of callers' requests may take, and one answer. Each is held up to twice, and the
+/// rest is for the other side of the requests, buffers and the control plane.
+constexpr std::size_t kBodiesMemoryDivisor = 6;
+constexpr std::size_t kAnswerMemoryDivisor = 8;
 
 } // namespace
 
@@ -98,6 +106,15 @@
     schema.addDuration("backend.announce_timeout",
                        "time without announcements after which the backend server is taken out of service", "3s", 500,
                        60000, settings.announceTimeoutMs);
+    schema.addDuration("backend.announce_period",
+                       "period of announcements; 4 missed ones replace backend.announce_timeout; 0: not known", "0ms",
+                       0, 60000, settings.announcePeriodMs);
+    schema.addDuration("spread.apply_bound",
+                       "time in which an accepted manifest must be in force; sets head_check, repair_after, quiet, "
+                       "replicate_limit and backoff_max of [spread]; 0: they are set one by one",
+                       "0ms", 0, 600000, settings.applyBoundMs);
+    schema.addBytes("node.memory", "memory limit of the process, of which bodies take a part; 0B: no limit", "0B", 0,
+                    64 * 1024 * kMiB, settings.memoryBytes);
     schema.addDuration("node.leave_delay", "time from the announcement of a planned stop to the exit of an idle node",
                        "1s", 0, 60000, settings.leaveDelayMs);
     schema.addDuration("node.handover_time",
@@ -133,6 +150,19 @@
 
 void deriveSettings(NodeSettings &settings)
 {
+    if (settings.applyBoundMs > 0) {
+        setApplyBound(settings.control.spread, settings.applyBoundMs);
+    }
+    if (settings.announcePeriodMs > 0) {
+        settings.announceTimeoutMs = kMissedAnnouncements * settings.announcePeriodMs;
+    }
+    if (settings.memoryBytes > 0) {
+        RequestPathSettings &requests = settings.requests;
+        const std::size_t bodies = settings.memoryBytes / kBodiesMemoryDivisor;
+        requests.maxOutstandingBytes = std::min(requests.maxOutstandingBytes, bodies);
+        requests.hopConfig.maxOutstandingBytes = std::min(requests.hopConfig.maxOutstandingBytes, bodies);
+        requests.maxAnswerBytes = std::min(requests.maxAnswerBytes, settings.memoryBytes / kAnswerMemoryDivisor);
+    }
     settings.control.spread.expectedFleetSize = static_cast<std::size_t>(settings.expectedHosts);
     settings.control.membership.expectedMembers = settings.expectedHosts;
     settings.control.membership.contactReadsPerSecond = kContactReadsPerSecond;
@@ -147,4 +177,25 @@
     settings.requests.hopAddress = {settings.address, settings.hopPort};
 }
 
+std::string describeDerivedSettings(const NodeSettings &settings)
+{
+    const auto line = [](std::string_view name, std::int64_t value, std::string_view unit, std::string_view bound) {
+        return std::string(name) + " = " + std::to_string(value) + std::string(unit) + " (" + std::string(bound)
+            + ")\n";
+    };
+    const SpreadSettings &spread = settings.control.spread;
+    const std::string_view applyBound = settings.applyBoundMs > 0 ? "spread.apply_bound" : "set by itself";
+    const std::string_view memory = settings.memoryBytes > 0 ? "node.memory" : "set by itself";
+    return line("spread.head_check", spread.headCheckMs, "ms", applyBound)
+        + line("spread.repair_after", spread.repairAfterMs, "ms", applyBound)
+        + line("spread.quiet", spread.quietMs, "ms", applyBound)
+        + line("spread.replicate_limit", spread.replicateLimitMs, "ms", applyBound)
+        + line("spread.backoff_max", spread.backoffMaxMs, "ms", applyBound)
+        + line("backend.announce_timeout", settings.announceTimeoutMs, "ms",
+               settings.announcePeriodMs > 0 ? "backend.announce_period" : "set by itself")
+        + line("requests.max_answer", static_cast<std::int64_t>(settings.requests.maxAnswerBytes), "B", memory)
+        + line("bodies of requests in progress", static_cast<std::int64_t>(settings.requests.maxOutstandingBytes), "B",
+               memory);
+}
+
 } // namespace fulmarledge
--- a/src/programs/node_settings.h
+++ b/src/programs/node_settings.h
@@ -26,6 +26,9 @@
     std::string logLevel;
     int expectedHosts = 0;
     TimeMs announceTimeoutMs = 0;
+    TimeMs announcePeriodMs = 0; ///< replaces `announceTimeoutMs` when not 0
+    TimeMs applyBoundMs = 0; ///< replaces the periods that `setApplyBound` sets when not 0
+    std::size_t memoryBytes = 0; ///< limit of the process; 0: none
     TimeMs leaveDelayMs = 0;
     TimeMs handoverMs = 0;
     TimeMs graceMs = 0;
@@ -44,4 +47,7 @@
 /// Sets the fields of `settings` that are derived from others. Call it after the schema has read the settings.
 void deriveSettings(NodeSettings &settings);
 
+/// The derived settings with the bounds that they serve, one a line.
+std::string describeDerivedSettings(const NodeSettings &settings);
+
 } // namespace fulmarledge
--- /dev/null
+++ b/tests/adapter_nodesettings.cpp
@@ -0,0 +1,67 @@
+#include <catch2/catch.hpp>
+
+#include "node_settings.h"
+
+using namespace fulmarledge;
+
+namespace {
+
+NodeSettings readSettings(std::vector<const char *> arguments)
+{
+    arguments.insert(arguments.begin(),
+                     {"fulmarledge-node", "--node.host", "h", "--node.zone", "z", "--node.address", "127.0.0.1",
+                      "--platform.address", "127.0.0.1:7000"});
+    NodeSettings settings;
+    LastReason error;
+    const auto outcome = nodeSettingsSchema(settings).read(arguments, error);
+    INFO(error.text());
+    REQUIRE(outcome == SettingsSchema::Outcome::Run);
+    deriveSettings(settings);
+    return settings;
+}
+
+/// Longest time from the acceptance of a version to its use, when no watch answers and the first three watchers cannot
+/// read: the period with its jitter, the stagger, two ticks, the wait for a second holder, the wait before a pull, and
+/// the messages.
+TimeMs slowestChangeMs(const SpreadSettings &spread)
+{
+    constexpr TimeMs kStaggerMs = 300;
+    constexpr TimeMs kTicksMs = 100;
+    constexpr TimeMs kMessagesMs = 100;
+    return spread.headCheckMs * 5 / 4 + kStaggerMs + kTicksMs + spread.replicateLimitMs + spread.pushSettleMs
+        + kMessagesMs;
+}
+
+} // namespace
+
+// Guards against a deployment whose bound is shorter than the periods that were chosen for another one.
+TEST_CASE("the periods of the spread keep the bound for a change")
+{
+    for (const int boundMs : {2000, 2500, 3000, 4000, 6000, 10000}) {
+        CAPTURE(boundMs);
+        const std::string bound = std::to_string(boundMs) + "ms";
+        const NodeSettings settings = readSettings({"--spread.apply_bound", bound.c_str()});
+        CHECK(slowestChangeMs(settings.control.spread) <= boundMs);
+        CHECK(settings.control.spread.quietMs + settings.control.spread.replicateLimitMs + 700 <= boundMs);
+        CHECK(describeDerivedSettings(settings).find("spread.apply_bound") != std::string::npos);
+    }
+    // Without the bound, the single settings hold.
+    CHECK(readSettings({"--spread.head_check", "4s"}).control.spread.headCheckMs == 4000);
+}
+
+// Guards against bodies that fill a small host, and against limits that grow with a large one.
+TEST_CASE("bodies take a part of the memory limit")
+{
+    for (const int mebibytes : {88, 110, 160, 260, 512, 60000}) {
+        CAPTURE(mebibytes);
+        const std::string memory = std::to_string(mebibytes) + "MiB";
+        const NodeSettings settings = readSettings({"--node.memory", memory.c_str()});
+        const std::size_t bytes = static_cast<std::size_t>(mebibytes) << 20U;
+        CHECK(settings.requests.maxOutstandingBytes * 2 <= bytes / 2);
+        CHECK(settings.requests.maxAnswerBytes * 2 <= bytes / 2);
+        CHECK(settings.requests.maxOutstandingBytes <= readSettings({}).requests.maxOutstandingBytes);
+        CHECK(settings.requests.maxAnswerBytes <= readSettings({}).requests.maxAnswerBytes);
+    }
+    const NodeSettings periods = readSettings({"--backend.announce_period", "2500ms"});
+    CHECK(periods.announceTimeoutMs == 10000);
+}
--- a/tests/adapter_platform.cpp
+++ b/tests/adapter_platform.cpp
@@ -75,6 +75,19 @@
     CHECK(plainRoute.kind == RequestKind::Unsafe);
     CHECK(plainRoute.timeoutMs == 2500);
     CHECK(plainRoute.maxAttempts == 2);
+    const std::pair<const char *, RequestKind> kinds[] = {{"safe", RequestKind::Safe},
+                                                          {"download", RequestKind::Download},
+                                                          {"upload", RequestKind::Upload},
+                                                          {"another", RequestKind::Unsafe}};
+    for (const auto &[name, kind] : kinds) {
+        json spec = kSpec;
+        spec["routes"]["rows"][0][3] = name;
+        const auto changed = parseConfiguration(spec, error);
+        REQUIRE(changed);
+        CHECK(changed->manifest.routes().at("jepu9.example/lepu270/").kind == kind);
+    }
+    CHECK_FALSE(isRepeatable(RequestKind::Upload));
+    CHECK(isLarge(RequestKind::Upload));
     CHECK(plainRoute.priority == 1);
     CHECK(configuration->manifest.limits().maxBodyBytes == 67108864);
 }
