--- a/include/fulmarledge/manifest.h
+++ b/include/fulmarledge/manifest.h
@@ -26,6 +26,7 @@
     Unsafe, ///< may run at most once
     Download, ///< may run more than once, and its responses are large
     Upload, ///< may run at most once, and its bodies are large
+    Count
 };
 
 /// Whether a request of this kind, which is not ByMethod, may run more than once.
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t kReasonCount = static_cast<std::size_t>(Reason::Count);
 constexpr std::size_t kVerdictCount = 4;
-constexpr std::size_t kKindCount = 4;
+constexpr auto kKindCount = static_cast<std::size_t>(RequestKind::Count);
 constexpr std::array<const char *, 2> kLegNames{"attempt", "guard"};
 
 /// Upper bounds of the histogram buckets, in milliseconds. They include 6 s, the limit for convergence.
--- a/src/core/manifestjson.cpp
+++ b/src/core/manifestjson.cpp
@@ -388,6 +388,8 @@
         return "download";
     case RequestKind::Upload:
         return "upload";
+    case RequestKind::Count:
+        break;
     }
     return "unknown";
 }
