--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -19,8 +19,8 @@
 /// Percentage of the latency objective within which a request that has to wait must finish to stay in its data centre.
 /// Half of the objective is left for another data centre.
 constexpr TimeMs kSpillPercent = 50;
-/// The same for large messages, which stay longer because they cost the links between data centres most.
-constexpr TimeMs kLargeSpillPercent = 90;
+/// The same for downloads, which stay longer because large answers cost the links between data centres most.
+constexpr TimeMs kDownloadSpillPercent = 90;
 constexpr TimeMs kUnsentReportMs = 20;
 /// Assumed size of the header of an answer to a caller, which is counted as use of the host's link.
 constexpr std::size_t kAnswerHeaderBytes = 300;
@@ -284,8 +284,8 @@
         request.__set_objectiveMs(static_cast<std::int32_t>(active.objectiveMs));
         request.__set_objectiveLeftMs(static_cast<std::int32_t>(objectiveLeftMs));
         if (action.maySpill && m_state.settings.balancer.zoneFirst) {
-            const TimeMs stayLimitMs
-                = active.objectiveMs * (isLarge(active.kind) ? kLargeSpillPercent : kSpillPercent) / 100;
+            const bool isDownload = active.kind == RequestKind::Download;
+            const TimeMs stayLimitMs = active.objectiveMs * (isDownload ? kDownloadSpillPercent : kSpillPercent) / 100;
             request.__set_spillLeftMs(static_cast<std::int32_t>(stayLimitMs - (active.objectiveMs - objectiveLeftMs)));
         }
     }
--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -8,9 +8,12 @@
 
 namespace {
 
-/// When the whole fleet returns at once, the platform may get at most 1,000 reads/s. The spread of manifests takes up
-/// to 649 reads/s and contacts are read at up to 1.2 times this rate, so 250 reads/s keep the sum below the limit.
-constexpr int kContactReadsPerSecond = 250;
+/// Parts of the platform's read rate that the first reads of a fleet that returns at once may take, in percent. The
+/// spread of manifests takes up to 2.2 times its part, for the fetches that follow the reads, and contacts are read at
+/// up to 1.2 times theirs. Half of the rate is left.
+constexpr int kSpreadReadsPercent = 15;
+constexpr int kContactReadsPercent = 12;
+constexpr int kPercent = 100;
 /// Announcements may be lost or late, so that several periods without one do not mean that the backend server is gone.
 constexpr TimeMs kMissedAnnouncements = 4;
 /// Parts of the memory that bodies of callers' requests may take, and one answer. Each is held up to twice, and the
@@ -43,6 +46,8 @@
     schema.addText("backend.service", "service of the backend server beside this node", "", settings.backendService);
     schema.addAddress("platform.address", "IP:PORT of the platform's object API", std::nullopt, settings.platform);
 
+    schema.addInteger("platform.reads_per_s", "reads per second that the platform allows the whole fleet", "2000", 10,
+                      10000000, settings.platformReadsPerS);
     schema.addInteger("fleet.expected_hosts",
                       "hosts that may start at once; start-up reads of the platform are spread out for this number",
                       "9700", 1, 65536, settings.expectedHosts);
@@ -165,7 +170,10 @@
     }
     settings.control.spread.expectedFleetSize = static_cast<std::size_t>(settings.expectedHosts);
     settings.control.membership.expectedMembers = settings.expectedHosts;
-    settings.control.membership.contactReadsPerSecond = kContactReadsPerSecond;
+    settings.control.spread.fleetReadsPerSecond
+        = std::max(settings.platformReadsPerS * kSpreadReadsPercent / kPercent, 1);
+    settings.control.membership.contactReadsPerSecond
+        = std::max(settings.platformReadsPerS * kContactReadsPercent / kPercent, 1);
     settings.requests.retry.maxAttempts = static_cast<std::uint32_t>(settings.maxAttempts);
     settings.requests.balancer.consecutiveFailures = static_cast<std::uint32_t>(settings.ejectAfter);
     // Each data thread sends on its own and gets an equal part of the rate.
--- a/src/programs/node_settings.h
+++ b/src/programs/node_settings.h
@@ -25,6 +25,7 @@
     std::string backendService; ///< service of the backend server on this host, empty when not known
     std::string logLevel;
     int expectedHosts = 0;
+    int platformReadsPerS = 0; ///< that the platform allows the whole fleet
     TimeMs announceTimeoutMs = 0;
     TimeMs announcePeriodMs = 0; ///< replaces `announceTimeoutMs` when not 0
     TimeMs applyBoundMs = 0; ///< replaces the periods that `setApplyBound` sets when not 0
