Keep waiting for a silent node only while it is known to run the request

Cause: requests that must not run twice waited for a silent node until their deadline also when they had not arrived there.

Change: heartbeats list the requests that run at the backend server, and only those wait. A pause of the process withdraws the permission to serve callers after 2 s without a tick of the control thread, because a data thread may run first. Tests for answers that a slow caller has not read, for the end of the grace time and for the permission.

--- a/gen/fulmarledge_types.cpp
+++ b/gen/fulmarledge_types.cpp
@@ -4646,6 +4646,11 @@
 void HopBeat::__set_state(const HostState::type val) {
   this->state = val;
 }
+
+void HopBeat::__set_running(const std::vector<int64_t> & val) {
+  this->running = val;
+__isset.running = true;
+}
 std::ostream& operator<<(std::ostream& out, const HopBeat& obj)
 {
   obj.printTo(out);
@@ -4700,6 +4705,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->running.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
+            {
+              xfer += iprot->readI64(this->running[_i162]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4729,6 +4754,19 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->state));
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.running) {
+    xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->running.size()));
+      std::vector<int64_t> ::const_iterator _iter163;
+      for (_iter163 = this->running.begin(); _iter163 != this->running.end(); ++_iter163)
+      {
+        xfer += oprot->writeI64((*_iter163));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4739,33 +4777,38 @@
   swap(a.sequence, b.sequence);
   swap(a.outstanding, b.outstanding);
   swap(a.state, b.state);
+  swap(a.running, b.running);
   swap(a.__isset, b.__isset);
 }
 
-HopBeat::HopBeat(const HopBeat& other158) noexcept {
-  sequence = other158.sequence;
-  outstanding = other158.outstanding;
-  state = other158.state;
-  __isset = other158.__isset;
+HopBeat::HopBeat(const HopBeat& other164) {
+  sequence = other164.sequence;
+  outstanding = other164.outstanding;
+  state = other164.state;
+  running = other164.running;
+  __isset = other164.__isset;
 }
-HopBeat::HopBeat(HopBeat&& other159) noexcept {
-  sequence = other159.sequence;
-  outstanding = other159.outstanding;
-  state = other159.state;
-  __isset = other159.__isset;
+HopBeat::HopBeat(HopBeat&& other165) noexcept {
+  sequence = other165.sequence;
+  outstanding = other165.outstanding;
+  state = other165.state;
+  running = std::move(other165.running);
+  __isset = other165.__isset;
 }
-HopBeat& HopBeat::operator=(const HopBeat& other160) noexcept {
-  sequence = other160.sequence;
-  outstanding = other160.outstanding;
-  state = other160.state;
-  __isset = other160.__isset;
+HopBeat& HopBeat::operator=(const HopBeat& other166) {
+  sequence = other166.sequence;
+  outstanding = other166.outstanding;
+  state = other166.state;
+  running = other166.running;
+  __isset = other166.__isset;
   return *this;
 }
-HopBeat& HopBeat::operator=(HopBeat&& other161) noexcept {
-  sequence = other161.sequence;
-  outstanding = other161.outstanding;
-  state = other161.state;
-  __isset = other161.__isset;
+HopBeat& HopBeat::operator=(HopBeat&& other167) noexcept {
+  sequence = other167.sequence;
+  outstanding = other167.outstanding;
+  state = other167.state;
+  running = std::move(other167.running);
+  __isset = other167.__isset;
   return *this;
 }
 void HopBeat::printTo(std::ostream& out) const {
@@ -4774,6 +4817,7 @@
   out << "sequence=" << to_string(sequence);
   out << ", " << "outstanding=" << to_string(outstanding);
   out << ", " << "state=" << to_string(state);
+  out << ", " << "running="; (__isset.running ? (out << to_string(running)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4912,34 +4956,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HopFrame::HopFrame(const HopFrame& other162) {
-  request = other162.request;
-  response = other162.response;
-  cancel = other162.cancel;
-  beat = other162.beat;
-  __isset = other162.__isset;
-}
-HopFrame::HopFrame(HopFrame&& other163) noexcept {
-  request = std::move(other163.request);
-  response = std::move(other163.response);
-  cancel = std::move(other163.cancel);
-  beat = std::move(other163.beat);
-  __isset = other163.__isset;
-}
-HopFrame& HopFrame::operator=(const HopFrame& other164) {
-  request = other164.request;
-  response = other164.response;
-  cancel = other164.cancel;
-  beat = other164.beat;
-  __isset = other164.__isset;
+HopFrame::HopFrame(const HopFrame& other168) {
+  request = other168.request;
+  response = other168.response;
+  cancel = other168.cancel;
+  beat = other168.beat;
+  __isset = other168.__isset;
+}
+HopFrame::HopFrame(HopFrame&& other169) noexcept {
+  request = std::move(other169.request);
+  response = std::move(other169.response);
+  cancel = std::move(other169.cancel);
+  beat = std::move(other169.beat);
+  __isset = other169.__isset;
+}
+HopFrame& HopFrame::operator=(const HopFrame& other170) {
+  request = other170.request;
+  response = other170.response;
+  cancel = other170.cancel;
+  beat = other170.beat;
+  __isset = other170.__isset;
   return *this;
 }
-HopFrame& HopFrame::operator=(HopFrame&& other165) noexcept {
-  request = std::move(other165.request);
-  response = std::move(other165.response);
-  cancel = std::move(other165.cancel);
-  beat = std::move(other165.beat);
-  __isset = other165.__isset;
+HopFrame& HopFrame::operator=(HopFrame&& other171) noexcept {
+  request = std::move(other171.request);
+  response = std::move(other171.response);
+  cancel = std::move(other171.cancel);
+  beat = std::move(other171.beat);
+  __isset = other171.__isset;
   return *this;
 }
 void HopFrame::printTo(std::ostream& out) const {
--- a/gen/fulmarledge_types.h
+++ b/gen/fulmarledge_types.h
@@ -1797,18 +1797,19 @@
 std::ostream& operator<<(std::ostream& out, const HopCancel& obj);
 
 typedef struct _HopBeat__isset {
-  _HopBeat__isset() : sequence(false), outstanding(false), state(false) {}
+  _HopBeat__isset() : sequence(false), outstanding(false), state(false), running(false) {}
   bool sequence :1;
   bool outstanding :1;
   bool state :1;
+  bool running :1;
 } _HopBeat__isset;
 
 class HopBeat : public virtual ::apache::thrift::TBase {
  public:
 
-  HopBeat(const HopBeat&) noexcept;
+  HopBeat(const HopBeat&);
   HopBeat(HopBeat&&) noexcept;
-  HopBeat& operator=(const HopBeat&) noexcept;
+  HopBeat& operator=(const HopBeat&);
   HopBeat& operator=(HopBeat&&) noexcept;
   HopBeat() noexcept
           : sequence(0),
@@ -1824,6 +1825,7 @@
    * @see HostState
    */
   HostState::type state;
+  std::vector<int64_t>  running;
 
   _HopBeat__isset __isset;
 
@@ -1833,6 +1835,8 @@
 
   void __set_state(const HostState::type val);
 
+  void __set_running(const std::vector<int64_t> & val);
+
   bool operator == (const HopBeat & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -1841,6 +1845,10 @@
       return false;
     if (!(state == rhs.state))
       return false;
+    if (__isset.running != rhs.__isset.running)
+      return false;
+    else if (__isset.running && !(running == rhs.running))
+      return false;
     return true;
   }
   bool operator != (const HopBeat &rhs) const {
--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -91,7 +91,8 @@
     , m_hopClient(m_loop, state.settings.hopConfig)
     , m_hopServer(m_loop, state.settings.hopConfig,
                   {[this](HopCallId call, wire::HopRequest &&request) { onHopRequest(call, std::move(request)); },
-                   [this](HopCallId call) { onHopCancel(call); }, [this](HopCallId call) { onHopPeerSilent(call); }})
+                   [this](HopCallId call) { onHopCancel(call); }, [this](HopCallId call) { onHopPeerSilent(call); },
+                   [this](HopCallId call) { return isHopCallRunning(call); }})
 {
 }
 
@@ -308,7 +309,7 @@
     }
     const wire::HostRecord &record = *active.session->view()->backend(action.backend).record;
     const SocketAddress peer{record.address, static_cast<std::uint16_t>(record.hopPort)};
-    const OnSilence onSilence = active.session->isIdempotent() ? OnSilence::Fail : OnSilence::KeepWaiting;
+    const OnSilence onSilence = active.session->isIdempotent() ? OnSilence::Fail : OnSilence::KeepWaitingIfRunning;
     active.hopCall = m_hopClient.send(
         peer, makeHopRequest(active, action),
         [this, id, attempt](HopOutcome outcome) {
@@ -463,6 +464,12 @@
     }
 }
 
+bool DataWorker::isHopCallRunning(HopCallId call) const
+{
+    const auto found = m_hopCalls.find(call);
+    return found != m_hopCalls.end() && m_calls.isDispatched(found->second);
+}
+
 void DataWorker::onHopCancel(HopCallId call)
 {
     const auto found = m_hopCalls.find(call);
--- a/src/adapters/dataworker_p.h
+++ b/src/adapters/dataworker_p.h
@@ -138,6 +138,7 @@
     void onHopRequest(HopCallId call, wire::HopRequest &&request);
     void onHopCancel(HopCallId call);
     void onHopPeerSilent(HopCallId call);
+    bool isHopCallRunning(HopCallId call) const;
     void reportUnsent();
 
     RequestPathState &m_state;
--- a/src/adapters/hop.cpp
+++ b/src/adapters/hop.cpp
@@ -117,7 +117,7 @@
     frame.request = std::move(request);
     frame.__isset.request = true;
     const ConnectionId connection = currentConnection(key);
-    PendingRequest pending{connection, 0, onSilence, std::move(callback)};
+    PendingRequest pending{connection, 0, onSilence, false, std::move(callback)};
     Reason refusal = Reason::ConnectFailed;
     if (connection != 0) {
         PeerConnection &target = m_connections[connection];
@@ -166,6 +166,14 @@
 
 void HopClient::onFrame(ConnectionId connection, wire::HopFrame &&frame)
 {
+    if (frame.__isset.beat) {
+        for (const std::int64_t running : frame.beat.running) {
+            const auto found = m_pending.find(static_cast<std::uint64_t>(running));
+            if (found != m_pending.end() && found->second.connection == connection) {
+                found->second.isRunning = true;
+            }
+        }
+    }
     if (!frame.__isset.response) {
         return;
     }
@@ -251,7 +259,8 @@
     }
     for (const std::uint64_t id : pendingOn(connection)) {
         const auto found = m_pending.find(id);
-        if (found == m_pending.end() || found->second.onSilence == OnSilence::KeepWaiting) {
+        if (found == m_pending.end()
+            || (found->second.onSilence == OnSilence::KeepWaitingIfRunning && found->second.isRunning)) {
             continue;
         }
         // If the peer was only paused, it finds the cancellation when it goes on.
@@ -364,7 +373,8 @@
     m_accepted[id].connection = std::make_unique<HopConnection>(
         m_loop, fd, false, m_config,
         HopConnection::Handlers{[this, id](wire::HopFrame &&frame) { onFrame(id, std::move(frame)); },
-                                [this, id] { onClosed(id); }, [this, id] { onSilent(id); }},
+                                [this, id] { onClosed(id); }, [this, id] { onSilent(id); },
+                                [this, id] { return runningRequests(id); }},
         scheduler);
 }
 
@@ -427,6 +437,21 @@
     }
 }
 
+std::vector<std::int64_t> HopServer::runningRequests(std::uint64_t connectionId) const
+{
+    std::vector<std::int64_t> running;
+    const auto found = m_accepted.find(connectionId);
+    if (!m_handlers.isRunning || found == m_accepted.end()) {
+        return running;
+    }
+    for (const auto &[id, open] : found->second.openCalls) {
+        if (m_handlers.isRunning({connectionId, id})) {
+            running.push_back(id);
+        }
+    }
+    return running;
+}
+
 std::size_t HopServer::unwrittenBytes() const
 {
     std::size_t bytes = 0;
--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -60,6 +60,8 @@
         /// Called in each heartbeat period in which the connection is silent, which may destroy it. Without it a silent
         /// connection fails.
         std::function<void()> onSilent = {};
+        /// Ids of the peer's requests that run at the backend server, for the heartbeats. May be empty.
+        std::function<std::vector<std::int64_t>()> runningRequests = {};
     };
 
     /// @param fd connected socket, or one whose connection is in progress if `connecting`
@@ -169,7 +171,8 @@
 /// What becomes of a request when its connection is silent.
 enum class OnSilence : std::uint8_t {
     Fail, ///< it ends as "may have run", and the peer is told to cancel it
-    KeepWaiting, ///< for work that must not run twice: the peer may be paused and answer later
+    KeepWaitingIfRunning, ///< as Fail, unless the peer has reported that it runs: the peer may be paused, and answer
+                          ///< later
 };
 
 /// Sends requests to other nodes. Interactive and bulk requests use separate connections, so that a large answer does
@@ -202,6 +205,7 @@
         ConnectionId connection = 0; ///< 0 when it was not queued
         std::uint64_t endPosition = 0; ///< where its frame ends in the stream; 0 when it was not queued
         OnSilence onSilence = OnSilence::Fail;
+        bool isRunning = false; ///< the peer has reported that it runs at the backend server
         Callback callback;
     };
     struct PeerConnection {
@@ -261,6 +265,8 @@
         std::function<void(HopCallId)> onCancel;
         /// The peer is silent. A request that has not reached the backend server may be refused. May be empty.
         std::function<void(HopCallId)> onPeerSilent = {};
+        /// Whether a request has been sent to the backend server. May be empty.
+        std::function<bool(HopCallId)> isRunning = {};
     };
 
     HopServer(IoLoop &loop, const HopConfig &config, Handlers handlers);
@@ -287,6 +293,7 @@
     void onFrame(std::uint64_t connectionId, wire::HopFrame &&frame);
     void onClosed(std::uint64_t connectionId);
     void onSilent(std::uint64_t connectionId);
+    std::vector<std::int64_t> runningRequests(std::uint64_t connectionId) const;
     void onLargeFrameReady(HopConnection &connection) override;
     void onSmallFramesWritten(std::size_t bytes) override;
     void onWaitingBytesChanged(std::ptrdiff_t bytes) override;
--- a/src/adapters/hopconnection.cpp
+++ b/src/adapters/hopconnection.cpp
@@ -294,7 +294,7 @@
             return false;
         }
         start += size;
-        if (!frame.__isset.beat) {
+        if (!frame.__isset.beat || frame.beat.__isset.running) {
             m_handlers.onFrame(std::move(frame));
             if (!*alive) {
                 return false;
@@ -322,6 +322,12 @@
         wire::HopBeat beat;
         beat.__set_sequence(++m_heartbeatsSent);
         beat.__set_state(wire::HostState::Serving);
+        if (m_handlers.runningRequests) {
+            std::vector<std::int64_t> running = m_handlers.runningRequests();
+            if (!running.empty()) {
+                beat.__set_running(std::move(running));
+            }
+        }
         frame.__set_beat(beat);
         send(frame);
     }
--- a/src/adapters/requestpath.cpp
+++ b/src/adapters/requestpath.cpp
@@ -31,6 +31,7 @@
 
     RequestPathState state;
     std::atomic<Reason> refusalReason{Reason::NotReady}; ///< why callers are refused; None while they are served
+    std::atomic<TimeMs> readyConfirmedAt{0};
     std::atomic<std::size_t> nextWorkerIndex{0};
     std::vector<std::unique_ptr<DataWorker>> workers;
     std::unique_ptr<HopListener> listener;
@@ -72,7 +73,12 @@
 
 void RequestPath::Shared::onCall(HttpCall call)
 {
-    const Reason reason = refusalReason.load(std::memory_order_acquire);
+    Reason reason = refusalReason.load(std::memory_order_acquire);
+    const TimeMs confirmedAt = readyConfirmedAt.load(std::memory_order_relaxed);
+    if (reason == Reason::None && state.settings.readyLeaseMs > 0
+        && monotonicMs() - confirmedAt > state.settings.readyLeaseMs) {
+        reason = Reason::StaleNode;
+    }
     if (reason != Reason::None) {
         sendRefusal(state, call, kUnavailable, reason, "this node does not serve callers now");
         return;
@@ -148,6 +154,11 @@
     m_shared->refusalReason.store(ready ? Reason::None : reason, std::memory_order_release);
 }
 
+void RequestPath::confirmReady(TimeMs now)
+{
+    m_shared->readyConfirmedAt.store(now, std::memory_order_relaxed);
+}
+
 void RequestPath::setLocalBackend(const SocketAddress &address, const std::string &serviceName, std::uint32_t slots,
                                   wire::HostState::type state, std::int32_t reportedLoad, const std::string &instance)
 {
--- a/src/adapters/requestpath.h
+++ b/src/adapters/requestpath.h
@@ -28,6 +28,8 @@
     std::size_t maxAnswerBytes = 64 * 1024 * 1024; ///< body of an answer
     std::size_t maxOutstanding = 4096; ///< callers' requests held at once; more are refused
     std::size_t maxOutstandingBytes = 128 * 1024 * 1024; ///< bodies of callers' requests held at once
+    /// Callers are refused when the last `confirmReady` is older than this; 0: it is not needed.
+    TimeMs readyLeaseMs = 0;
     HopConfig hopConfig;
     BalancerConfig balancer;
     RetryConfig retry;
@@ -66,6 +68,9 @@
 
     /// While not ready, callers' requests are refused with `reason`. Requests of other nodes are still served.
     void setReady(bool ready, Reason reason);
+    /// Renews the permission to serve callers. The control thread cannot withdraw it in time after a pause of the
+    /// process, because a data thread may run first.
+    void confirmReady(TimeMs now);
 
     /// Applies the backend server's last announcement, or its absence with `state` Starting.
     /// @param reportedLoad requests that the backend server reports as running; exported as a metric only, as the slot
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -30,6 +30,9 @@
 constexpr TimeMs kIdleBeforeLeaveMs = 250;
 /// Time before the end of the grace time at which a busy node answers the callers' requests in progress and exits.
 constexpr TimeMs kExitMarginMs = 400;
+/// Time without a tick after which callers are refused. A pause of this length makes the control core read the version
+/// floor again.
+constexpr TimeMs kReadyLeaseMs = 2000;
 /// Time to write these answers.
 constexpr TimeMs kFinalAnswersMs = 150;
 /// Failed connections in a row after which the backend server is taken out of service. A single failure can come from
@@ -113,6 +116,7 @@
             return 1;
         }
         watchSignals();
+        m_requestPath.confirmReady(monotonicMs());
         m_requestPath.start();
         m_control.start(monotonicMs(), wallClockMs());
         m_adminServer = std::make_unique<HttpServer>(
@@ -188,6 +192,7 @@
             if (m_control.spread().isPlatformReachable()) {
                 m_platformReachableAtMs = now;
             }
+            m_requestPath.confirmReady(now);
             checkBackend(now);
             updateRetryAllowance();
             scheduleTick();
@@ -324,6 +329,7 @@
     {
         RequestPathSettings result = m_settings.requests;
         result.retryAllowance = m_retryAllowance;
+        result.readyLeaseMs = kReadyLeaseMs;
         result.dialect = m_environment->makeDialect(m_settings.backendService);
         return result;
     }
--- a/tests/adapter_hop.cpp
+++ b/tests/adapter_hop.cpp
@@ -2,6 +2,8 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <sys/socket.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
 
 #include "datapathfixture.h"
 #include "hop.h"
@@ -341,6 +343,21 @@
 
 namespace {
 
+/// A heartbeat as it is sent, which reports that requests run.
+std::string beatFrame(const std::vector<std::int64_t> &running)
+{
+    wire::HopFrame frame;
+    wire::HopBeat beat;
+    beat.__set_running(running);
+    frame.__set_beat(beat);
+    const auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    frame.write(&protocol);
+    const std::string text = buffer->getBufferAsString();
+    const std::uint32_t prefix = htonl(static_cast<std::uint32_t>(text.size()));
+    return std::string(reinterpret_cast<const char *>(&prefix), sizeof(prefix)) + text;
+}
+
 /// A peer whose process can be paused: while paused, its event loop does not run and its sockets stay open.
 class PausablePeer
 {
@@ -395,7 +412,9 @@
                            running->loop().runAfter(
                                1500, [&, call, body = request.body] { running->server.reply(call, hopAnswer(body)); });
                        },
-                       [&](HopCallId) { ++cancelled; }});
+                       [&](HopCallId) { ++cancelled; },
+                       {},
+                       [](HopCallId) { return true; }});
     running = &peer;
     IoLoop loop;
     HopClient client(loop, fastConfig());
@@ -408,7 +427,7 @@
             kept = std::move(outcome);
             ++done;
         },
-        OnSilence::KeepWaiting);
+        OnSilence::KeepWaitingIfRunning);
     client.send({"127.0.0.1", kPort}, hopRequest("fail"), [&](HopOutcome outcome) {
         failed = std::move(outcome);
         ++done;
@@ -433,14 +452,16 @@
                                running->server.reply(call, hopAnswer(request.body));
                            }
                        },
-                       [](HopCallId) {}});
+                       [](HopCallId) {},
+                       {},
+                       [](HopCallId) { return true; }});
     running = &peer;
     IoLoop loop;
     HopClient client(loop, fastConfig());
     std::vector<Verdict> verdicts;
     std::atomic<bool> done{false};
     client.send(
-        {"127.0.0.1", kPort}, hopRequest("first"), [](HopOutcome) {}, OnSilence::KeepWaiting);
+        {"127.0.0.1", kPort}, hopRequest("first"), [](HopOutcome) {}, OnSilence::KeepWaitingIfRunning);
     loop.runAfter(50, [&] { peer.pause(1000); });
     for (const TimeMs at : {500, 600, 2000}) {
         loop.runAfter(at, [&] {
@@ -461,6 +482,8 @@
     std::atomic<bool> stop{false};
     std::thread peer([&] {
         const int silent = listener.accept();
+        const std::string beat = beatFrame({1});
+        ::send(silent, beat.data(), beat.size(), MSG_NOSIGNAL);
         const int replacement = listener.accept();
         // The second connection is echoed, so that the client receives its own heartbeats.
         char buffer[4096];
@@ -474,6 +497,7 @@
     IoLoop loop;
     HopOutcome outcome;
     std::atomic<bool> done{false};
+    const TimeMs start = monotonicMs();
     {
         HopClient client(loop, fastConfig());
         client.send(
@@ -482,11 +506,13 @@
                 outcome = std::move(got);
                 done = true;
             },
-            OnSilence::KeepWaiting);
+            OnSilence::KeepWaitingIfRunning);
         runUntil(loop, [&] { return done.load(); });
     }
     stop = true;
     peer.join();
+    // Twice the silence timeout, as the running request was not given up at the first one.
+    CHECK(monotonicMs() - start >= 300);
     CHECK(done);
     CHECK(outcome.verdict == Verdict::MayHaveRun);
 }
--- a/tests/adapter_requestpath.cpp
+++ b/tests/adapter_requestpath.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <sys/time.h>
 
 #include "datapathfixture.h"
 
@@ -206,6 +207,84 @@
     CHECK(nodes.backend.executions("new") == 0);
 }
 
+// Guards against a stopping node that exits before its last answers have left it.
+TEST_CASE("answers that a slow caller has not read count as unsent during a drain")
+{
+    TwoNodes nodes;
+    const std::string large(16 << 20, 'x');
+    std::atomic<bool> started{false};
+    nodes.backend.setBehaviour([&](HttpCall &call) {
+        started = true;
+        call.responder->send(200, {}, large);
+    });
+    const timeval limit{5, 0};
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(kCallerPort1);
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    REQUIRE(::connect(fd, reinterpret_cast<const sockaddr *>(&at), sizeof(at)) == 0);
+    const std::string request = "GET /bookings/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+    REQUIRE(::send(fd, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+    REQUIRE(eventually([&] { return started.load(); }));
+    nodes.backendNode.path().drain([] {});
+    RequestPath &path = nodes.backendNode.path();
+    CHECK(eventually([&] { return path.stats().outstanding == 0 && path.stats().unsent > 0; }));
+    std::vector<char> buffer(1 << 20);
+    std::size_t received = 0;
+    while (received < large.size()) {
+        const ssize_t got = ::recv(fd, buffer.data(), buffer.size(), 0);
+        REQUIRE(got > 0);
+        received += static_cast<std::size_t>(got);
+    }
+    CHECK(eventually([&] { return path.stats().unsent == 0; }));
+    ::close(fd);
+}
+
+// Guards against requests that are cut without an answer when the grace time of a stop ends.
+TEST_CASE("requests in progress at the end of the grace time are answered")
+{
+    TwoNodes nodes;
+    std::atomic<int> started{0};
+    nodes.backend.setBehaviour([&started](HttpCall &call) {
+        ++started;
+        std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+        call.responder->send(200, {}, "late");
+    });
+    HttpResult running;
+    std::thread caller([&] { running = fetch(callerRequest(kCallerPort2, "POST", "running")); });
+    REQUIRE(eventually([&] { return started == 1; }));
+    const TimeMs begin = monotonicMs();
+    nodes.entryNode.path().answerOutstanding();
+    caller.join();
+    CHECK(monotonicMs() - begin < 1000);
+    CHECK(running.status == 502);
+    CHECK(verdictOf(running) == "may-have-run");
+    CHECK(reasonOf(running) == "draining");
+}
+
+// Guards against a process that serves callers by an outdated manifest after a pause, before its control thread has
+// noticed the pause.
+TEST_CASE("callers are refused when the permission to serve them has not been renewed")
+{
+    constexpr TimeMs kLeaseMs = 300;
+    TestBackend backend(kBackendPort1);
+    TestNode node(1, kCallerPort1, kHopPort1, kLeaseMs);
+    node.path().publish(bookingsSnapshot(5, {hostRecord(1, kHopPort1)}));
+    node.serve(backend);
+    const auto call = [](const std::string &id) { return fetch(callerRequest(kCallerPort1, "POST", id)); };
+    node.path().confirmReady(monotonicMs());
+    CHECK(call("in-time").status == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2 * kLeaseMs));
+    const HttpResult refused = call("late");
+    CHECK(refused.status == 503);
+    CHECK(reasonOf(refused) == "stale-node");
+    CHECK(backend.executions("late") == 0);
+    node.path().confirmReady(monotonicMs());
+    CHECK(call("renewed").status == 200);
+}
+
 // Guards against a shed request that is not sent to another host, and against a plain 503 that is taken for a refusal.
 TEST_CASE("a shed request is retried on another host and a 503 without a verdict is an answer")
 {
--- a/tests/datapathfixture.h
+++ b/tests/datapathfixture.h
@@ -183,9 +183,9 @@
 class TestNode
 {
 public:
-    TestNode(int index, std::uint16_t callerPort, std::uint16_t hopPort)
+    TestNode(int index, std::uint16_t callerPort, std::uint16_t hopPort, TimeMs readyLeaseMs = 0)
         : m_metrics("n" + std::to_string(index), "a")
-        , m_path(settings(index, callerPort, hopPort), m_metrics)
+        , m_path(settings(index, callerPort, hopPort, readyLeaseMs), m_metrics)
     {
         m_path.start();
         m_path.setReady(true, Reason::None);
@@ -200,9 +200,10 @@
     }
 
 private:
-    static RequestPathSettings settings(int index, std::uint16_t callerPort, std::uint16_t hopPort)
+    static RequestPathSettings settings(int index, std::uint16_t callerPort, std::uint16_t hopPort, TimeMs readyLeaseMs)
     {
         RequestPathSettings result;
+        result.readyLeaseMs = readyLeaseMs;
         result.host = "n" + std::to_string(index);
         result.zone = "a";
         result.callerAddress = {"127.0.0.1", callerPort};
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -167,7 +167,8 @@
 }
 
 struct HopCancel { 1: i64 id }
-struct HopBeat { 1: i64 sequence, 2: i32 outstanding, 3: HostState state }
+// `running` lists the requests of the connection that run at the backend server.
+struct HopBeat { 1: i64 sequence, 2: i32 outstanding, 3: HostState state, 4: optional list<i64> running }
 
 struct HopFrame {
   1: optional HopRequest request
