Close a silent connection at once when none of its requests is known to run

Cause: requests that were queued and not written ended as 'may have run' at the silence, although closing the connection shows that they did not run. Two findings of the linter.

Change: without a running request the connection is closed as before, and only the others keep it open.

--- a/src/adapters/hop.cpp
+++ b/src/adapters/hop.cpp
@@ -247,7 +247,7 @@
 
 void HopClient::onSilent(ConnectionId connection)
 {
-    PeerConnection &silent = m_connections[connection];
+    const PeerConnection &silent = m_connections[connection];
     const ConnectionKey key = silent.key;
     if (const auto current = m_current.find(key); current != m_current.end() && current->second == connection) {
         m_current.erase(current);
@@ -257,10 +257,16 @@
             m_connections[replacement].replacesSilent = true;
         }
     }
-    for (const std::uint64_t id : pendingOn(connection)) {
-        const auto found = m_pending.find(id);
-        if (found == m_pending.end()
-            || (found->second.onSilence == OnSilence::KeepWaitingIfRunning && found->second.isRunning)) {
+    // Answers cannot come over a connection that stays silent although the peer is running.
+    const bool isLost = isReplacementProven(key) && silent.connection->silentMs() > 2 * m_config.silenceTimeoutMs;
+    const std::vector<std::uint64_t> ids = pendingOn(connection);
+    const bool hasRunning = std::any_of(ids.begin(), ids.end(), [this](std::uint64_t id) { return keepsWaiting(id); });
+    if (isLost || !hasRunning) {
+        onClosed(connection);
+        return;
+    }
+    for (const std::uint64_t id : ids) {
+        if (keepsWaiting(id)) {
             continue;
         }
         // If the peer was only paused, it finds the cancellation when it goes on.
@@ -270,16 +276,13 @@
         outcome.reason = Reason::ConnectionLost;
         finish(id, std::move(outcome));
     }
-    const auto found = m_connections.find(connection);
-    if (found == m_connections.end()) {
-        return;
-    }
-    // Answers cannot come over a connection that stays silent although the peer is running.
-    const bool isLost
-        = isReplacementProven(key) && found->second.connection->silentMs() > 2 * m_config.silenceTimeoutMs;
-    if (found->second.pending == 0 || isLost) {
-        onClosed(connection);
-    }
+}
+
+bool HopClient::keepsWaiting(std::uint64_t id) const
+{
+    const auto found = m_pending.find(id);
+    return found != m_pending.end() && found->second.onSilence == OnSilence::KeepWaitingIfRunning
+        && found->second.isRunning;
 }
 
 void HopClient::closeIdleConnections()
--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -223,6 +223,8 @@
     void onFrame(ConnectionId connection, wire::HopFrame &&frame);
     void onClosed(ConnectionId connection);
     void onSilent(ConnectionId connection);
+    /// Whether a request waits for its answer although its connection is silent.
+    bool keepsWaiting(std::uint64_t id) const;
     /// Whether the connection for new requests has received something.
     bool isReplacementProven(const ConnectionKey &key) const;
     void sendCancel(ConnectionId connection, std::uint64_t request);
--- a/src/adapters/hopconnection.cpp
+++ b/src/adapters/hopconnection.cpp
@@ -323,9 +323,9 @@
         beat.__set_sequence(++m_heartbeatsSent);
         beat.__set_state(wire::HostState::Serving);
         if (m_handlers.runningRequests) {
-            std::vector<std::int64_t> running = m_handlers.runningRequests();
+            const std::vector<std::int64_t> running = m_handlers.runningRequests();
             if (!running.empty()) {
-                beat.__set_running(std::move(running));
+                beat.__set_running(running);
             }
         }
         frame.__set_beat(beat);
--- a/src/adapters/httpclient.cpp
+++ b/src/adapters/httpclient.cpp
@@ -188,9 +188,7 @@
     result.verdict = transfer.sendCount == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
     if (transfer.bodyTooLarge) {
         result.reason = Reason::BodyTooLarge;
-    } else if (transfer.headerTooLarge) {
-        result.reason = Reason::ForeignAnswer;
-    } else if (result.headerRejected) {
+    } else if (transfer.headerTooLarge || result.headerRejected) {
         result.reason = Reason::ForeignAnswer;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
         result.reason = transfer.sendCount == 0 ? Reason::ConnectFailed : Reason::DeadlineExceeded;
--- a/src/adapters/httpclient.h
+++ b/src/adapters/httpclient.h
@@ -26,7 +26,7 @@
     std::int64_t timeoutMs = 10000; ///< for the whole transfer, including the connect
     std::int64_t connectTimeoutMs = 1000;
     std::size_t maxBodyBytes = 64 * 1024 * 1024; ///< a larger response body ends the transfer with BodyTooLarge
-    std::size_t maxHeaderBytes = 64 * 1024; ///< a larger response header ends the transfer with HeaderTooLarge
+    std::size_t maxHeaderBytes = 64 * 1024; ///< a larger response header ends the transfer with ForeignAnswer
     /// Longest idle time in seconds after which a connection is still reused. 0 selects libcurl's default.
     long maxIdleSeconds = 0;
     /// Called with the status and the complete header of the final response. Returning false ends the transfer and
