Let new requests use a second connection to a silent node at once

Refusing new requests to them until they were heard took slow hosts out, and each idle silent connection was replaced too.

Change: only a connection with a running request is kept beside a second one, which takes new requests. Any other is closed, as before.

--- a/src/adapters/hop.cpp
+++ b/src/adapters/hop.cpp
@@ -118,22 +118,18 @@
     frame.__isset.request = true;
     const ConnectionId connection = currentConnection(key);
     PendingRequest pending{connection, 0, onSilence, false, std::move(callback)};
-    Reason refusal = Reason::ConnectFailed;
     if (connection != 0) {
         PeerConnection &target = m_connections[connection];
-        if (!target.replacesSilent || target.connection->hasReceived()) {
-            refusal = Reason::QueueFull;
-            pending.endPosition = target.connection->send(frame);
-        }
+        pending.endPosition = target.connection->send(frame);
         ++target.pending;
     }
     const bool isQueued = pending.endPosition != 0;
     m_pending.emplace(id, std::move(pending));
     if (!isQueued) {
-        m_loop.runAfter(0, [this, id, alive = m_alive, refusal] {
+        m_loop.runAfter(0, [this, id, alive = m_alive, found = connection != 0] {
             if (*alive) {
                 HopOutcome outcome;
-                outcome.reason = refusal;
+                outcome.reason = found ? Reason::QueueFull : Reason::ConnectFailed;
                 finish(id, std::move(outcome));
             }
         });
@@ -252,11 +248,6 @@
     if (const auto current = m_current.find(key); current != m_current.end() && current->second == connection) {
         m_current.erase(current);
     }
-    if (!m_current.contains(key)) {
-        if (const ConnectionId replacement = openConnection(key)) {
-            m_connections[replacement].replacesSilent = true;
-        }
-    }
     // Answers cannot come over a connection that stays silent although the peer is running.
     const bool isLost = isReplacementProven(key) && silent.connection->silentMs() > 2 * m_config.silenceTimeoutMs;
     const std::vector<std::uint64_t> ids = pendingOn(connection);
@@ -265,6 +256,9 @@
         onClosed(connection);
         return;
     }
+    if (!m_current.contains(key)) {
+        openConnection(key);
+    }
     for (const std::uint64_t id : ids) {
         if (keepsWaiting(id)) {
             continue;
--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -178,8 +178,8 @@
 /// Sends requests to other nodes. Interactive and bulk requests use separate connections, so that a large answer does
 /// not delay small ones. Belongs to the loop's thread.
 ///
-/// A silent connection is replaced by a second one. New requests to the peer fail as "not run" until the second one has
-/// received something, which shows that the peer is running. If the first one is still silent then, it is closed.
+/// A silent connection on which a request is known to run is kept beside a second one, which takes the new requests. If
+/// something arrives on the second one, the peer is running, and the first one is closed if it stays silent.
 class HopClient
 {
 public:
@@ -213,7 +213,6 @@
         std::unique_ptr<HopConnection> connection;
         std::size_t pending = 0; ///< requests without an outcome
         TimeMs lastUsed = 0;
-        bool replacesSilent = false; ///< it takes requests only after it has received something
     };
 
     /// Returns the id of the connection for new requests, and opens one if there is none. 0 when no socket could be
