Send uploads over the connections of other requests again

Uploads had their own connections to each host, on links of 7 Mbit/s. How these take the place of the others was not traced.

Change: only downloads use the connections for large messages, as before. Uploads stay a kind of their own that runs at most once.

--- a/include/fulmarledge/manifest.h
+++ b/include/fulmarledge/manifest.h
@@ -35,12 +35,6 @@
     return kind == RequestKind::Safe || kind == RequestKind::Download;
 }
 
-/// Whether the requests or the responses of this kind are large.
-constexpr bool isLarge(RequestKind kind)
-{
-    return kind == RequestKind::Download || kind == RequestKind::Upload;
-}
-
 /// Name of a kind, in lower case with hyphens.
 std::string_view requestKindName(RequestKind kind);
 
--- a/src/adapters/dataworker.cpp
+++ b/src/adapters/dataworker.cpp
@@ -189,7 +189,7 @@
     active.target = call.path + call.query;
     if (route.spec.kind != RequestKind::ByMethod) {
         active.rank = route.spec.priority;
-        active.bulk = isLarge(route.spec.kind);
+        active.bulk = route.spec.kind == RequestKind::Download;
         active.objectiveMs = route.spec.targetLatencyMs;
     }
     const std::int64_t timeoutMs = route.spec.timeoutMs > 0 ? route.spec.timeoutMs : spec.timeoutMs;
