Send both requests of the tests of repeated answers over one connection

Cause: a node of these tests had two data threads with connections of their own. When the second request went to the other thread, it used a new connection, which the test's backend server, serving one at a time, did not accept.

Change: the node has one thread.

--- a/tests/adapter_faultyanswers.cpp
+++ b/tests/adapter_faultyanswers.cpp
@@ -102,7 +102,7 @@
         return fetch(callerRequest(kCallerPort, method, id));
     }
 
-    TestNode node{1, kCallerPort, kHopPort};
+    TestNode node{1, kCallerPort, kHopPort, 0, 1};
 };
 
 std::string verdictOf(const HttpResult &result)
--- a/tests/datapathfixture.h
+++ b/tests/datapathfixture.h
@@ -183,9 +183,10 @@
 class TestNode
 {
 public:
-    TestNode(int index, std::uint16_t callerPort, std::uint16_t hopPort, TimeMs readyLeaseMs = 0)
+    /// @param threads for callers and for data; with one, all requests use the same connections to the backend server
+    TestNode(int index, std::uint16_t callerPort, std::uint16_t hopPort, TimeMs readyLeaseMs = 0, int threads = 2)
         : m_metrics("n" + std::to_string(index), "a")
-        , m_path(settings(index, callerPort, hopPort, readyLeaseMs), m_metrics)
+        , m_path(settings(index, callerPort, hopPort, readyLeaseMs, threads), m_metrics)
     {
         m_path.start();
         m_path.setReady(true, Reason::None);
@@ -200,9 +201,12 @@
     }
 
 private:
-    static RequestPathSettings settings(int index, std::uint16_t callerPort, std::uint16_t hopPort, TimeMs readyLeaseMs)
+    static RequestPathSettings settings(int index, std::uint16_t callerPort, std::uint16_t hopPort, TimeMs readyLeaseMs,
+                                        int threads)
     {
         RequestPathSettings result;
+        result.httpThreads = threads;
+        result.dataThreads = threads;
         result.readyLeaseMs = readyLeaseMs;
         result.host = "n" + std::to_string(index);
         result.zone = "a";
