--- a/src/adapters/hop.cpp
+++ b/src/adapters/hop.cpp
@@ -235,7 +235,7 @@
     }
 }
 
-bool HopClient::isReplacementProven(const ConnectionKey &key) const
+bool HopClient::isPeerHeard(const ConnectionKey &key) const
 {
     const auto current = m_current.find(key);
     return current != m_current.end() && m_connections.at(current->second).connection->hasReceived();
@@ -249,7 +249,7 @@
         m_current.erase(current);
     }
     // Answers cannot come over a connection that stays silent although the peer is running.
-    const bool isLost = isReplacementProven(key) && silent.connection->silentMs() > 2 * m_config.silenceTimeoutMs;
+    const bool isLost = isPeerHeard(key) && silent.connection->silentMs() > 2 * m_config.silenceTimeoutMs;
     const std::vector<std::uint64_t> ids = pendingOn(connection);
     const bool hasRunning = std::any_of(ids.begin(), ids.end(), [this](std::uint64_t id) { return keepsWaiting(id); });
     if (isLost || !hasRunning) {
--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -224,8 +224,8 @@
     void onSilent(ConnectionId connection);
     /// Whether a request waits for its answer although its connection is silent.
     bool keepsWaiting(std::uint64_t id) const;
-    /// Whether the connection for new requests has received something.
-    bool isReplacementProven(const ConnectionKey &key) const;
+    /// Whether the connection for new requests has received something, which shows that the peer is running.
+    bool isPeerHeard(const ConnectionKey &key) const;
     void sendCancel(ConnectionId connection, std::uint64_t request);
     void closeIdleConnections();
     void finish(std::uint64_t id, HopOutcome outcome);
--- a/src/core/headreader.cpp
+++ b/src/core/headreader.cpp
@@ -15,7 +15,7 @@
 constexpr TimeMs kReadStaggerMs = 100;
 /// Watchers from this position on read at random times, so that the last one does not wait long if many are cut off.
 constexpr int kOrderedReaders = 3;
-/// Part of the period by which the periodic reads vary.
+/// The periodic reads vary by the period divided by these: those of the first readers, and those of the others.
 constexpr TimeMs kOrderedJitterDivisor = 16;
 constexpr TimeMs kJitterDivisor = 4;
 
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -30,11 +30,11 @@
 constexpr TimeMs kIdleBeforeLeaveMs = 250;
 /// Time before the end of the grace time at which a busy node answers the callers' requests in progress and exits.
 constexpr TimeMs kExitMarginMs = 400;
+/// Time to write these answers.
+constexpr TimeMs kFinalAnswersMs = 150;
 /// Time without a tick after which callers are refused. A pause of this length makes the control core read the version
 /// floor again.
 constexpr TimeMs kReadyLeaseMs = 2000;
-/// Time to write these answers.
-constexpr TimeMs kFinalAnswersMs = 150;
 /// Failed connections in a row after which the backend server is taken out of service. A single failure can come from
 /// a full backlog, but once the process has ended every connection is refused.
 constexpr int kRefusedConnectionsLimit = 3;
