--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -413,6 +413,20 @@
         : m_server(at, [this](const std::shared_ptr<Stream> &stream) { serve(*stream); })
     {
     }
+    /// A store at another address that continues with the objects of `earlier`.
+    Store(const Address &at, Store &earlier)
+        : m_server(at, [this](const std::shared_ptr<Stream> &stream) { serve(*stream); })
+    {
+        const std::scoped_lock lock(m_mutex, earlier.m_mutex);
+        m_revision = earlier.m_revision;
+        m_objects = earlier.m_objects;
+        m_events = earlier.m_events;
+    }
+    /// Ends the service at this address.
+    void stop()
+    {
+        m_server.stop();
+    }
     /// A write of the operator. Returns the revision.
     std::int64_t put(const std::string &kind, const std::string &name, json spec)
     {
@@ -668,8 +682,8 @@
     {
         return {machine.ip, ports.app};
     }
-    /// Starts the node of a machine with the command of the deploy file. Only the path of the settings differs.
-    void start(const Machine &machine)
+    /// Fills in deploy/node.ini for a machine and puts the result where its node reads it.
+    std::string writeSettings(const Machine &machine)
     {
         std::map<std::string, std::string> values{
             {"nodeName", machine.name},
@@ -707,6 +721,13 @@
         }
         const std::string path = m_folder + "/" + machine.name + ".conf";
         std::ofstream(path) << text;
+        return path;
+    }
+    /// Starts the node of a machine with the command of the deploy file. Only the path of the settings differs. To be
+    /// called by the main thread, with whose end the nodes end.
+    void start(const Machine &machine)
+    {
+        const std::string path = writeSettings(machine);
         const char *programFromEnvironment = std::getenv("REVIEW_NODE");
         const std::string program
             = programFromEnvironment != nullptr ? programFromEnvironment : m_root + "/target/fulmarledge-node";
