--- a/review/standins/fields.cpp
+++ b/review/standins/fields.cpp
@@ -6,8 +6,8 @@
 int main(int, char **argv)
 {
     Record::get().open(argv[1]);
-    const Machine a{"side-a-1", "a", "127.8.0.1", "book"};
-    const Machine b{"side-b-1", "b", "127.8.0.2", "sheets"};
+    const Machine a{"side-a-1", "a", loopback(1), "book"};
+    const Machine b{"side-b-1", "b", loopback(2), "sheets"};
     Deployment fleet({a, b});
     fleet.store->put("config", "main",
                      configuration(7, {{"/u/", "unsafe", "book"}, {"/s/", "safe", "sheets"}}, {"book", "sheets"}));
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -567,6 +567,13 @@
 
 // --------------------------------------------------------------------------------------------------------- machines --
 
+/// Loopback address number `last` of this process. Others that run at the same time mostly use another network, as a
+/// port for metrics is fixed by deploy/node.ini.
+inline std::string loopback(int last)
+{
+    return "127." + std::to_string(16 + ::getpid() % 200) + ".0." + std::to_string(last);
+}
+
 /// Addresses and settings of one machine of the deployment.
 struct Machine {
     std::string name;
--- a/review/standins/leave.cpp
+++ b/review/standins/leave.cpp
@@ -17,9 +17,9 @@
 int main(int, char **argv)
 {
     Record::get().open(argv[1]);
-    const Machine a{"side-a-1", "a", "127.8.0.1", "book"};
-    const Machine b{"side-b-1", "b", "127.8.0.2", "sheets"};
-    const Machine c{"side-b-2", "b", "127.8.0.3", "book"};
+    const Machine a{"side-a-1", "a", loopback(1), "book"};
+    const Machine b{"side-b-1", "b", loopback(2), "sheets"};
+    const Machine c{"side-b-2", "b", loopback(3), "book"};
     Deployment fleet({a, b, c});
     fleet.store->put(
         "config", "main",
--- a/review/standins/moved.cpp
+++ b/review/standins/moved.cpp
@@ -14,9 +14,9 @@
 int main(int, char **argv)
 {
     Record::get().open(argv[1]);
-    const Machine a{"side-a-1", "a", "127.8.0.1", "book"};
-    const Machine b{"side-b-1", "b", "127.8.0.2", "sheets"};
-    const Machine c{"side-b-2", "b", "127.8.0.3", "sheets"};
+    const Machine a{"side-a-1", "a", loopback(1), "book"};
+    const Machine b{"side-b-1", "b", loopback(2), "sheets"};
+    const Machine c{"side-b-2", "b", loopback(3), "sheets"};
     Deployment fleet({a, b, c});
     const std::vector<std::string> services{"book", "sheets"};
     fleet.store->put("config", "main",
@@ -41,7 +41,7 @@
 
     std::unique_ptr<Store> moved;
     if (hasTrouble()) {
-        const Address to{"127.8.0.9", fleet.ports.store};
+        const Address to{loopback(9), fleet.ports.store};
         moved = std::make_unique<Store>(to, *fleet.store);
         fleet.platformAddress = to;
         for (const Machine &machine : fleet.machines) {
