--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -31,6 +31,7 @@
 #include <string>
 #include <strings.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -742,6 +743,10 @@
         const pid_t pid = ::fork();
         if (pid == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL); // the node ends with this program
+            if (maxSockets > 0) { // what `limits.maxFds` leaves for sockets
+                const rlimit limit{maxSockets, maxSockets};
+                ::setrlimit(RLIMIT_NOFILE, &limit);
+            }
             ::setenv("FULMARLEDGE_BOOT", path.c_str(), 1);
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
@@ -822,6 +827,7 @@
     Ports ports;
     Address platformAddress; ///< of a proxy before the store; empty for the store itself
     std::unique_ptr<Store> store;
+    rlim_t maxSockets = 0; ///< of a node; 0: as for this program
     std::map<std::string, std::map<std::string, std::string>> overrides; ///< settings by machine
 
 private:
