--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include <algorithm>
-#include <array>
 #include <arpa/inet.h>
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -525,7 +525,8 @@
         }
         if (call.method == "GET") {
             const auto found = objects.find(name);
-            return found == objects.end() ? std::pair<int, json>{404, json::object()} : std::pair<int, json>{200, found->second};
+            return found == objects.end() ? std::pair<int, json>{404, json::object()}
+                                          : std::pair<int, json>{200, found->second};
         }
         const json body = json::parse(call.body, nullptr, false);
         if (call.method == "POST") {
@@ -670,7 +671,10 @@
     /// Ends all processes and this program. 0: the rule held, 1: it was broken, 2: the case could not run.
     [[noreturn]] void finish(int code)
     {
-        RECORD("result %d (%s)", code, code == 0 ? "the rule held" : code == 1 ? "the rule was broken" : "could not run");
+        RECORD("result %d (%s)", code,
+               code == 0       ? "the rule held"
+                   : code == 1 ? "the rule was broken"
+                               : "could not run");
         shutdown();
         std::_Exit(code);
     }
@@ -705,8 +709,8 @@
             {"bounds.graceS", "6"},
             {"limits.memoryMb", "260"},
             {"limits.linkMbps", "1000.0"},
-            {"platform.address", platformAddress.ip.empty() ? "127.0.0.1:" + std::to_string(ports.store)
-                                                            : platformAddress.text()},
+            {"platform.address",
+             platformAddress.ip.empty() ? "127.0.0.1:" + std::to_string(ports.store) : platformAddress.text()},
             {"platform.readsPerS", "2000"},
             {"service", machine.service},
             {"heartbeatMs", "1500"},
@@ -859,15 +863,16 @@
     for (const std::string &service : services) {
         serviceRows.push_back({service, "/health"});
     }
-    return {{"version", version},
-            {"routes",
-             {{"columns",
-               {"name", "host", "pathPrefix", "kind", "timeoutMs", "targetLatencyMs", "priority", "backends",
-                "maxAttempts", "service"}},
-              {"rows", routeRows}}},
-            {"services", {{"columns", {"name", "healthPath"}}, {"rows", serviceRows}}},
-            {"limits",
-             {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1048576}, {"headerTimeoutMs", 5000}, {"idleTimeoutMs", 30000}}}};
+    return {
+        {"version", version},
+        {"routes",
+         {{"columns",
+           {"name", "host", "pathPrefix", "kind", "timeoutMs", "targetLatencyMs", "priority", "backends", "maxAttempts",
+            "service"}},
+          {"rows", routeRows}}},
+        {"services", {{"columns", {"name", "healthPath"}}, {"rows", serviceRows}}},
+        {"limits",
+         {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1048576}, {"headerTimeoutMs", 5000}, {"idleTimeoutMs", 30000}}}};
 }
 
 // -------------------------------------------------------------------------------------------------------- endpoints --
@@ -897,8 +902,8 @@
         : settings(std::move(endpointSettings))
         , born(unixMs())
     {
-        m_server = std::make_unique<Server>(
-            settings.at, [this](const std::shared_ptr<Stream> &stream) { serve(*stream); });
+        m_server
+            = std::make_unique<Server>(settings.at, [this](const std::shared_ptr<Stream> &stream) { serve(*stream); });
     }
     ~Endpoint()
     {
@@ -927,9 +932,15 @@
     }
     std::string beatText(const std::string &state, std::int64_t sequence) const
     {
-        const json body{{"service", settings.service}, {"address", settings.at.text()}, {"zone", settings.zone},
-                        {"version", "v1"},             {"slots", settings.slots},       {"state", state},
-                        {"warmupLeftMs", 0},           {"seq", sequence},               {"born", born}};
+        const json body{{"service", settings.service},
+                        {"address", settings.at.text()},
+                        {"zone", settings.zone},
+                        {"version", "v1"},
+                        {"slots", settings.slots},
+                        {"state", state},
+                        {"warmupLeftMs", 0},
+                        {"seq", sequence},
+                        {"born", born}};
         const std::string text = body.dump();
         return "PUT /api/instances/" + settings.instance
             + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: "
@@ -992,9 +1003,10 @@
 
     static Fields answerFields(const Message &request, const std::string &instance)
     {
-        return {{"X-Fulmarledge-Request-Id", field(request.fields, "X-Fulmarledge-Request-Id")},
-                {"X-Fulmarledge-Instance-Id", instance},
-                {"X-Fulmarledge-Response-Signature", instance + "." + field(request.fields, "X-Fulmarledge-Request-Id")}};
+        return {
+            {"X-Fulmarledge-Request-Id", field(request.fields, "X-Fulmarledge-Request-Id")},
+            {"X-Fulmarledge-Instance-Id", instance},
+            {"X-Fulmarledge-Response-Signature", instance + "." + field(request.fields, "X-Fulmarledge-Request-Id")}};
     }
     void recordRun(const Message &request)
     {
@@ -1024,10 +1036,9 @@
             if (!target.empty() && target != settings.instance) {
                 RECORD("endpoint %s rejects %s with 421 (for %s)", settings.instance.c_str(), id.c_str(),
                        target.c_str());
-                if (!stream.send(formatAnswer(421,
-                                              {{"X-Fulmarledge-Request-Id", id},
-                                               {"X-Fulmarledge-Instance-Id", settings.instance}},
-                                              ""))) {
+                if (!stream.send(formatAnswer(
+                        421, {{"X-Fulmarledge-Request-Id", id}, {"X-Fulmarledge-Instance-Id", settings.instance}},
+                        ""))) {
                     return;
                 }
                 continue;
@@ -1057,7 +1068,8 @@
     std::unique_ptr<Server> m_server;
 };
 
-// ----------------------------------------------------------------------------------------------------------- clients --
+// ----------------------------------------------------------------------------------------------------------- clients
+// --
 
 struct Attempt {
     std::string id;
@@ -1091,7 +1103,8 @@
 
 /// Sends one request on a new connection, or on `stream` if given, and waits for its answer.
 inline Attempt request(const Address &to, const std::string &method, const std::string &path, Ms deadlineMs,
-                       const std::string &body = {}, Stream *kept = nullptr, const Fields &more = {}, bool quiet = false)
+                       const std::string &body = {}, Stream *kept = nullptr, const Fields &more = {},
+                       bool quiet = false)
 {
     Attempt attempt;
     attempt.id = newId();
--- a/review/standins/idle.cpp
+++ b/review/standins/idle.cpp
@@ -37,8 +37,8 @@
     if (::setrlimit(RLIMIT_NOFILE, &own) != 0) {
         fleet.finish(2);
     }
-    json document = configuration(
-        7, {{"/u/", "unsafe", "book", kTimeoutMs}, {"/s/", "safe", "sheets", kTimeoutMs}}, {"book", "sheets"});
+    json document = configuration(7, {{"/u/", "unsafe", "book", kTimeoutMs}, {"/s/", "safe", "sheets", kTimeoutMs}},
+                                  {"book", "sheets"});
     document["limits"]["idleTimeoutMs"] = kIdleTimeoutMs;
     fleet.store->put("config", "main", document);
     Endpoint book({"i-book", "book", "a", fleet.app(a), fleet.control(a), 2});
--- a/review/standins/leave.cpp
+++ b/review/standins/leave.cpp
@@ -1,5 +1,5 @@
-// Case "leave is forgotten": an endpoint's leave is acknowledged, all nodes are killed and started again, and a heartbeat
-// from before the leave arrives late.
+// Case "leave is forgotten": an endpoint's leave is acknowledged, all nodes are killed and started again, and a
+// heartbeat from before the leave arrives late.
 #include "harness.h"
 
 using namespace review;
@@ -21,9 +21,8 @@
     const Machine b{"side-b-1", "b", loopback(2), "sheets"};
     const Machine c{"side-b-2", "b", loopback(3), "book"};
     Deployment fleet({a, b, c});
-    fleet.store->put(
-        "config", "main",
-        configuration(7, {{"/u/", "unsafe", "book"}, {"/s/", "safe", "sheets"}}, {"book", "sheets"}));
+    fleet.store->put("config", "main",
+                     configuration(7, {{"/u/", "unsafe", "book"}, {"/s/", "safe", "sheets"}}, {"book", "sheets"}));
     Endpoint leaving({"i-leaving", "book", "a", fleet.app(a), fleet.control(a), 300});
     Endpoint staying({"i-staying", "book", "b", fleet.app(c), fleet.control(c), 300});
     Endpoint sheets({"i-sheets", "sheets", "b", fleet.app(b), fleet.control(b), 100});
--- a/review/standins/moved.cpp
+++ b/review/standins/moved.cpp
@@ -20,7 +20,8 @@
     Deployment fleet({a, b, c});
     const std::vector<std::string> services{"book", "sheets"};
     fleet.store->put("config", "main",
-                     configuration(7, {{"/u/", "unsafe", "book"}, {"/s/", "safe", "sheets"}, {"/old/", "unsafe", "book"}},
+                     configuration(7,
+                                   {{"/u/", "unsafe", "book"}, {"/s/", "safe", "sheets"}, {"/old/", "unsafe", "book"}},
                                    services));
     Endpoint book({"i-book", "book", "a", fleet.app(a), fleet.control(a), 5});
     Endpoint sheets({"i-sheets1", "sheets", "b", fleet.app(b), fleet.control(b), 5});
