--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -627,7 +627,7 @@
     explicit Deployment(std::vector<Machine> machines)
         : machines(std::move(machines))
     {
-        std::array<char, 64> pattern{"/tmp/review-XXXXXX"};
+        std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
         if (::mkdtemp(pattern.data()) == nullptr) {
             std::exit(2);
         }
