Refuse announcements whose id is no text before anything changes

Cause: parseHeartbeat checked only the length of the id. The leave was applied, then stored with json::dump, which throws on bytes that are no UTF-8; nothing catches below main. Change: such an id is refused with 400 and a reason, for PUT and DELETE in every state. Reports of the admin port replace such bytes, and a report that fails ends one call. Log lines of events and decisions are UTF-8 and bounded. Every other exception ends the process: docs/decisions/unforeseen-errors.md.

--- a/include/fulmarledge/backendlifecycle.h
+++ b/include/fulmarledge/backendlifecycle.h
@@ -13,7 +13,7 @@
 /// Content of one announcement of a backend server.
 struct BackendAnnouncement {
     bool isLeaving = false; ///< last announcement of the process, which takes no new work and exits
-    std::string instance; ///< id of the process
+    std::string instance; ///< id of the process, in UTF-8
     std::int64_t processStartMs = 0; ///< start of the process, milliseconds since 1970; 0 when not given
     std::int64_t sequence = 0; ///< increases with each announcement of the process
     std::string service;
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "linewriter_p.h"
+#include "utf8.h"
 
 namespace fulmarledge {
 
@@ -72,9 +73,19 @@
 
 std::string loggable(std::string_view text)
 {
-    std::string result(text.substr(0, kMaxLogDetailBytes));
-    std::replace_if(
-        result.begin(), result.end(), [](char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; }, '?');
+    text = text.substr(0, kMaxLogDetailBytes);
+    std::string result;
+    result.reserve(text.size());
+    while (!text.empty()) {
+        const bool isControl = static_cast<unsigned char>(text.front()) < ' ' || text.front() == '\x7f';
+        const std::size_t bytes = isControl ? 0 : utf8CharacterBytes(text);
+        if (bytes == 0) {
+            result += '?';
+        } else {
+            result += text.substr(0, bytes);
+        }
+        text.remove_prefix(std::max<std::size_t>(bytes, 1));
+    }
     return result;
 }
 
@@ -133,7 +144,7 @@
 
 void DecisionLog::write(std::string_view detail)
 {
-    LOG4CPLUS_INFO(projectLogger(), "event=decision " << detail);
+    LOG4CPLUS_INFO(projectLogger(), "event=decision " << loggable(detail));
 }
 
 } // namespace fulmarledge
--- a/src/adapters/log.h
+++ b/src/adapters/log.h
@@ -25,7 +25,8 @@
 constexpr std::size_t kLogQueueLines = 4096;
 constexpr std::size_t kMaxLogDetailBytes = 1000;
 
-/// Text from outside as part of a log line: without control characters and at most `kMaxLogDetailBytes` long.
+/// Text from outside as part of a log line: in UTF-8, without control characters and at most `kMaxLogDetailBytes` long.
+/// Each byte that does not fit is replaced by a question mark.
 std::string loggable(std::string_view text);
 
 /// Log of state changes. Each line names the host and its data centre.
--- a/src/programs/node_admin.cpp
+++ b/src/programs/node_admin.cpp
@@ -11,6 +11,8 @@
 
 using nlohmann::json;
 
+constexpr int kInternalError = 500;
+
 /// Why no requests are sent to a backend server. Empty when it is used.
 std::string_view unusedReason(const SnapshotBackend &backend)
 {
@@ -45,6 +47,12 @@
     return result;
 }
 
+/// Other nodes and their backend servers name themselves in reports. A byte that is no UTF-8 must not hide the report.
+std::string toReport(const json &document)
+{
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 json rolloutJson(const RolloutView &view)
 {
     json result{{"service", view.service}, {"in_force", view.inForce}, {"state", rolloutStateName(view.state)}};
@@ -144,7 +152,7 @@
         }
         document["quotas"] = std::move(quotas);
     }
-    return document.dump();
+    return toReport(document);
 }
 
 std::string membersJson(const NodeReport &report)
@@ -167,7 +175,7 @@
                         {"version", version},
                         {"age_ms", versionAgeMs}});
     }
-    return rows.dump();
+    return toReport(rows);
 }
 
 std::optional<std::string> explainJson(const NodeReport &report, std::string_view service)
@@ -211,7 +219,18 @@
             }
         }
     }
-    return document.dump();
+    return toReport(document);
+}
+
+void answerReport(const HttpCall &call, MetricsSink &metrics, EventLog &log, const std::function<void()> &answer)
+{
+    try {
+        answer();
+    } catch (const std::exception &exception) {
+        metrics.count("reports-failed", "", 1);
+        log.event("report-failed", "path=" + call.path + " reason=" + exception.what());
+        call.responder->send(kInternalError, {{"Content-Type", "text/plain"}}, "the report could not be written\n");
+    }
 }
 
 } // namespace fulmarledge
--- a/src/programs/node_admin.h
+++ b/src/programs/node_admin.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 
 #include "fulmarledge/controlnode.h"
 #include "fulmarledge/snapshot.h"
+#include "httpserver.h"
 #include "node_announcement.h"
 
 namespace fulmarledge {
@@ -39,4 +41,7 @@
 /// JSON body of `GET /v1/explain/SERVICE`. Empty when the active snapshot has no such service.
 std::optional<std::string> explainJson(const NodeReport &report, std::string_view service);
 
+/// Runs `answer`, which must change nothing. An exception ends this call only, with 500, and is logged and counted.
+void answerReport(const HttpCall &call, MetricsSink &metrics, EventLog &log, const std::function<void()> &answer);
+
 } // namespace fulmarledge
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -359,6 +359,11 @@
             call.responder->send(405, {{"Allow", "GET"}}, "");
             return;
         }
+        answerReport(call, m_metrics, *m_log, [&] { onReportCall(call); });
+    }
+
+    void onReportCall(const HttpCall &call)
+    {
         const TimeMs now = monotonicMs();
         const NodeReport report{m_control,     m_snapshot.get(), m_backend.announcement(),
                                 m_activations, m_settings.host,  m_settings.zone,
--- a/tests/adapter_backendannouncements.cpp
+++ b/tests/adapter_backendannouncements.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "heldstore.h"
+#include "node_admin.h"
 #include "node_backend.h"
 #include "usersplatform.h"
 
@@ -85,10 +86,10 @@
     {
     }
     /// Sends a heartbeat of a ready process. Returns the status of the reply, 0 without one.
-    int beat(const std::string &instance, int born, int sequence)
+    int beat(const std::string &instance, int born, int sequence, const std::string &state = "ready")
     {
         return call("PUT", instance,
-                    R"({"service":"bookings","address":"127.0.0.1:9000","slots":4,"state":"ready","seq":)"
+                    R"({"service":"bookings","address":"127.0.0.1:9000","slots":4,"state":")" + state + R"(","seq":)"
                         + std::to_string(sequence) + R"(,"born":)" + std::to_string(born) + "}");
     }
     int leave(const std::string &instance)
@@ -176,3 +177,58 @@
         CHECK_FALSE(next.isServing());
     }
 }
+
+// Guards against review case 8, an announcement of another writer that ends the node because its id is no text.
+TEST_CASE("an announcement whose id is no text is refused, and the backend server stays as it is")
+{
+    const std::string id = GENERATE(as<std::string>{}, "\xff", "i-\xff\xfe\xfd", "i-1\x80", "\xc0\xaf",
+                                    "i-\xed\xa0\x80", "i-\xf4\x90\x80\x80", "i-\xe2\x82");
+    CAPTURE(id.size());
+    HeldStore store;
+    StartedNode node(store);
+    REQUIRE(node.beat("i-1", 100, 1) == 200);
+    const int calls = store.calls;
+    CHECK(node.beat(id, 100, 2, "draining") == 400);
+    CHECK(node.beat(id, 200, 3, "draining") == 400);
+    CHECK(node.beat(id, 200, 4) == 400);
+    CHECK(node.leave(id) == 400);
+    CHECK(node.isServing());
+    CHECK(store.calls == calls);
+    CHECK(node.beat("i-1", 100, 2) == 200);
+    CHECK(node.leave("i-1") == 200);
+    CHECK_FALSE(node.isServing());
+}
+
+// Guards against odd ids that are refused although they are text, and against ones that end the node.
+TEST_CASE("an announcement whose id is an unusual text is taken")
+{
+    const std::string id = GENERATE(as<std::string>{}, "..", "%FF", "%2F..", "caf\xc3\xa9", "\"}", "a\\u0000", "'",
+                                    std::string(128, 'x'));
+    CAPTURE(id);
+    HeldStore store;
+    StartedNode node(store);
+    CHECK(node.beat(id, 100, 1) == 200);
+    CHECK(node.isServing());
+    CHECK(node.beat(id, 100, 2, "draining") == 200);
+    CHECK_FALSE(node.isServing());
+    StartedNode next(store);
+    CHECK(next.beat(id, 100, 3) == 200);
+    CHECK_FALSE(next.isServing());
+}
+
+// Guards against a report that ends the node when it cannot be written.
+TEST_CASE("a report that fails is refused, logged and counted, and nothing else ends")
+{
+    const auto status = std::make_shared<int>(0);
+    HttpCall call;
+    call.path = "/v1/status";
+    call.responder = std::make_shared<StatusResponder>(status);
+    CountingMetrics metrics;
+    NullLog log;
+    answerReport(call, metrics, log, [] { throw std::runtime_error("no such record"); });
+    CHECK(*status == 500);
+    CHECK(metrics["reports-failed/"] == 1);
+    answerReport(call, metrics, log, [&] { call.responder->send(200, {}, ""); });
+    CHECK(*status == 200);
+    CHECK(metrics["reports-failed/"] == 1);
+}
--- a/tests/adapter_log.cpp
+++ b/tests/adapter_log.cpp
@@ -54,4 +54,8 @@
     CHECK(loggable("key=a\nevent=ready\r\x1b[2J\x7f") == "key=a?event=ready??[2J?");
     CHECK(loggable("caf\xc3\xa9 \"q\"") == "caf\xc3\xa9 \"q\"");
     CHECK(loggable(std::string(100000, 'x')).size() == kMaxLogDetailBytes);
+    CHECK(loggable("id=\xff\xfe caf\xc3\xa9 \xe2\x82") == "id=?? caf\xc3\xa9 ??");
+    // A character that the limit would cut is left out.
+    CHECK(loggable(std::string(kMaxLogDetailBytes - 1, 'x') + "\xc3\xa9")
+          == std::string(kMaxLogDetailBytes - 1, 'x') + "?");
 }
