Encode the names of stored objects in paths and queries

An object 'side-3#' of the kind leave made the node call DELETE leave/side-3 without its condition, which removes another host's leave. Change: names are percent-encoded, as the own store's client did already.

--- a/src/adapters/httpstore.cpp
+++ b/src/adapters/httpstore.cpp
@@ -10,24 +10,6 @@
 
 using nlohmann::json;
 
-/// Percent-encodes text for use as one segment of a URL path.
-std::string encodePathSegment(std::string_view text)
-{
-    static constexpr std::string_view kDigits = "0123456789ABCDEF";
-    std::string segment;
-    for (const char c : text) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
-            segment += c;
-        } else {
-            segment += '%';
-            segment += kDigits[byte >> 4U];
-            segment += kDigits[byte & 0x0fU];
-        }
-    }
-    return segment;
-}
-
 /// Parses a whole number that is not negative.
 std::optional<std::int64_t> parseNonNegative(std::string_view text)
 {
@@ -60,6 +42,23 @@
 
 } // namespace
 
+std::string encodePathSegment(std::string_view text)
+{
+    static constexpr std::string_view kDigits = "0123456789ABCDEF";
+    std::string segment;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+            segment += c;
+        } else {
+            segment += '%';
+            segment += kDigits[byte >> 4U];
+            segment += kDigits[byte & 0x0fU];
+        }
+    }
+    return segment;
+}
+
 HttpStore::HttpStore(HttpClient &client, MetricsSink &metrics, Settings settings)
     : m_client(client)
     , m_metrics(metrics)
--- a/src/adapters/httpstore.h
+++ b/src/adapters/httpstore.h
@@ -13,6 +13,9 @@
 /// Header field with the object's status, which has no line break, if it has one.
 constexpr std::string_view kObjectStatusField = "Object-Status";
 
+/// Percent-encodes text for use as one segment of the path, or one value of the query, of a URL.
+std::string encodePathSegment(std::string_view text);
+
 /// Maps the result of an HTTP request to the status of a call to an object store.
 StoreStatus storeStatusFromResult(const HttpResult &result, bool isWrite);
 
--- a/tests/adapter_objectstore.cpp
+++ b/tests/adapter_objectstore.cpp
@@ -39,14 +39,16 @@
 class StoreFixture
 {
 public:
-    explicit StoreFixture(std::string answer)
+    /// @param secondAnswer of all calls but the first, unless it is empty
+    explicit StoreFixture(std::string answer, std::string secondAnswer = {})
         : m_server({{"127.0.0.1", kStorePort}, 1, 1 << 20},
-                   [this, answer = std::move(answer)](const HttpCall &call) {
+                   [this, answer = std::move(answer), later = std::move(secondAnswer)](const HttpCall &call) mutable {
                        {
                            const std::lock_guard lock(m_callMutex);
-                           m_lastCall = call.method + " " + call.path + " " + call.body;
+                           m_lastCall = call.method + " " + call.path + call.query + " " + call.body;
                        }
                        call.responder->send(200, {}, answer);
+                       answer = later.empty() ? answer : later;
                    })
         , m_client(m_loop, 4)
         , m_store(m_client, m_metrics, log, {"127.0.0.1", kStorePort})
@@ -74,7 +76,11 @@
         return wait(
             [&](StoreCallback done) { m_store.updateStatus(kRolloutKind, name, version, status, std::move(done)); });
     }
-    /// Method, path and body of the last call.
+    StoreReply remove(const std::string &kind, const std::string &name, std::int64_t version)
+    {
+        return wait([&](StoreCallback done) { m_store.remove(kind, name, version, std::move(done)); });
+    }
+    /// Method, path, query and body of the last call.
     std::string lastCall()
     {
         const std::lock_guard lock(m_callMutex);
@@ -261,3 +267,33 @@
         CHECK(RolloutStatus::parse(reply.objects[0].status) == RolloutStatus());
     }
 }
+
+// Guards against an object of another writer whose name, put into a path as it is, names another object or hides the
+// condition of a removal.
+TEST_CASE("the name of an object is encoded in the path and the query of a call")
+{
+    const std::string name = GENERATE(as<std::string>{}, "side-3?x=", "side-3#", "side-3/status", "side 3", "%73ide-3");
+    CAPTURE(name);
+    StoreFixture store("{}");
+    store.remove("leave", name, 5);
+    const std::string call = store.lastCall();
+    CAPTURE(call);
+    CHECK(call.starts_with("DELETE /api/objects/leave/"));
+    CHECK(call.ends_with("?revision=5 "));
+    const std::string segment = call.substr(26, call.find('?') - 26);
+    CHECK(segment != "side-3");
+    CHECK(segment.find_first_of("/ #") == std::string::npos);
+    CHECK(std::count(call.begin(), call.end(), '?') == 1);
+    store.updateStatus(name, 5, R"({"state":"done"})");
+    CHECK(store.lastCall().starts_with("PUT /api/objects/rollouts/" + segment + "/status "));
+}
+
+// Guards against a list that ends, or goes on elsewhere, at an object of another writer.
+TEST_CASE("a list goes on behind an object with an odd name")
+{
+    StoreFixture store(
+        R"({"items":[{"metadata":{"name":"a&watch=1","revision":3},"spec":{}}],"hasMore":true,"asOf":9})",
+        R"({"items":[{"metadata":{"name":"b","revision":4},"spec":{}}],"asOf":9})");
+    CHECK(store.list("leave").objects.size() == 2);
+    CHECK(store.lastCall() == "GET /api/objects/leave?after=a%26watch%3D1 ");
+}
