Answer what runs on a connection before a planned stop closes it

Cause: ResponseQueue::closeAfterFirst cancelled them by design, so that a stop would not depend on the slowest of several requests. The grace time bounds the stop in any case. Change: once callers are refused, a connection with requests in progress starts no further one, answers those in progress in order and closes with the last response.

--- a/src/adapters/httpconnection.cpp
+++ b/src/adapters/httpconnection.cpp
@@ -207,6 +207,9 @@
     if (m_queue.isClosing() || m_queue.isEmpty()) {
         return !m_queue.isClosing();
     }
+    if (m_connections->closesAfterResponses.load(std::memory_order_relaxed)) {
+        return holdBack(HoldReason::Closing);
+    }
     if (m_queue.size() >= m_connections->pipeline()) {
         return false;
     }
@@ -434,7 +437,8 @@
             break;
         }
         if (m_connections->closesAfterResponses.load(std::memory_order_relaxed)) {
-            cancelled = m_queue.closeAfterFirst();
+            // Backend servers are at work on the requests behind this one, so these are still answered.
+            m_queue.closeAfterLast();
         }
         endResponseHeader(response->header, m_queue.isLast() ? 0 : m_connections->limits().idleTimeoutMs);
         write(std::move(*response));
--- a/src/adapters/httpconnections.cpp
+++ b/src/adapters/httpconnections.cpp
@@ -17,7 +17,7 @@
 std::string_view holdReasonName(HoldReason reason)
 {
     static constexpr std::array<std::string_view, static_cast<std::size_t>(HoldReason::Count)> kNames{
-        "not-repeatable", "memory", "too-many"};
+        "not-repeatable", "memory", "too-many", "closing"};
     return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/adapters/httpconnections_p.h
+++ b/src/adapters/httpconnections_p.h
@@ -125,7 +125,7 @@
 
     std::atomic<std::size_t> unsentResponses{0}; ///< responses that wait for their turn or their sockets
     std::atomic<std::size_t> besideRequests{0}; ///< unanswered requests behind the first of their connections
-    std::atomic<bool> closesAfterResponses{false}; ///< every response ends its connection
+    std::atomic<bool> closesAfterResponses{false}; ///< connections close when their requests in progress are answered
     std::atomic<std::size_t> socketBytes{0}; ///< of the kernel's buffers; 0 while they are not measured
     std::atomic<std::size_t> heldBytes{0}; ///< bytes of incomplete requests and of those that wait for their turn
 
--- a/src/adapters/httpserver.h
+++ b/src/adapters/httpserver.h
@@ -74,6 +74,7 @@
     NotRepeatable, ///< it, or the request before it, may not run more than once
     Memory, ///< too many bytes of responses wait, on its connection or in all
     TooMany, ///< too many requests run beside others, on all connections together
+    Closing, ///< the connection closes when its requests in progress are answered
     Count
 };
 
@@ -123,7 +124,8 @@
 
     /// Sets the limits of open and new connections. Sizes apply from the next request of a connection on. Thread-safe.
     void setLimits(const HttpLimits &limits);
-    /// From now on, closes each connection after its next response, which says so. Thread-safe.
+    /// From now on, closes each connection when its requests in progress are answered. The last response says so. Behind
+    /// requests in progress no further one is started. Thread-safe.
     void closeAfterResponses();
     /// Responses that were given to `HttpResponder::send` and are not completely handed to the kernel. Must not be
     /// called after `stop`.
--- a/src/adapters/responsequeue.cpp
+++ b/src/adapters/responsequeue.cpp
@@ -176,11 +176,6 @@
     return callbacks;
 }
 
-std::vector<ResponseQueue::Callback> ResponseQueue::closeAfterFirst()
-{
-    return cancelBehind(1);
-}
-
 std::vector<ResponseQueue::Callback> ResponseQueue::closeAfterReady()
 {
     std::size_t kept = m_first && m_first->state != State::Running ? 1 : 0;
--- a/src/adapters/responsequeue_p.h
+++ b/src/adapters/responsequeue_p.h
@@ -124,8 +124,6 @@
     {
         m_closing = true;
     }
-    /// The first response closes the connection. Cancels the requests behind it and returns their callbacks.
-    std::vector<Callback> closeAfterFirst();
     /// The last of the responses that are set, up to the first request that is running, closes the connection. Cancels
     /// the requests behind it and returns their callbacks.
     std::vector<Callback> closeAfterReady();
--- a/tests/adapter_pipelinedrequests.cpp
+++ b/tests/adapter_pipelinedrequests.cpp
@@ -153,12 +153,36 @@
     REQUIRE(eventually([&] { return holding.started().size() == 2; }));
     holding.node.path().closeCallerConnections();
     holding.answer("/safe/1");
+    CHECK(client.readUntil("!").find("Connection: Keep-Alive") != std::string::npos);
+    holding.answer("/safe/2");
     CHECK(client.readUntil("!").find("Connection: close") != std::string::npos);
     CHECK(client.isClosedWithin(3000));
     CHECK(client.readUntil("!", 1).empty());
-    CHECK(eventually([&] { return holding.cancelled() == 1; }));
     CHECK(eventually([&] { return holding.node.path().stats().outstanding == 0; }));
     CHECK(holding.started() == Paths{"/safe/1", "/safe/2"});
+    CHECK(holding.cancelled() == 0);
+}
+
+// Guards against requests sent ahead that hold up a planned stop, or that get no answer when its time is over.
+TEST_CASE("requests sent ahead that run at the end of the grace time are all answered, in order")
+{
+    HoldingNode holding;
+    RawClient client(kCallerPort);
+    REQUIRE(client.send(request("GET", "/safe/1") + request("GET", "/safe/2") + request("GET", "/safe/3")));
+    REQUIRE(eventually([&] { return holding.started().size() == 3; }));
+    holding.node.path().closeCallerConnections();
+    holding.answer("/safe/2");
+    REQUIRE(eventually([&] { return holding.node.path().stats().unsent == 1; }));
+    holding.node.path().answerOutstanding();
+    REQUIRE(client.isClosedWithin(3000));
+    const std::string received = client.readUntil("(never)", 1);
+    const std::size_t first = received.find("HTTP/1.1 502 ");
+    const std::size_t second = received.find("HTTP/1.1 200 ");
+    CHECK(first == 0);
+    CHECK(second != std::string::npos);
+    CHECK(received.find("HTTP/1.1 502 ", second) != std::string::npos);
+    CHECK(received.find("Connection: close") > received.rfind("HTTP/1.1 "));
+    CHECK(eventually([&] { return holding.node.path().stats().outstanding == 0; }));
 }
 
 // Guards against slots that stay taken by requests whose caller has gone.
--- a/tests/adapter_pipelining.cpp
+++ b/tests/adapter_pipelining.cpp
@@ -142,27 +142,80 @@
     }
 }
 
-// Guards against requests behind a closing response that ran although their caller takes them for unread, and against
-// bytes after that response.
-TEST_CASE("behind a response that closes the connection nothing starts, and what runs is cancelled")
+// Guards against review case 10, a planned stop that cuts requests at which backend servers are working, and against
+// requests behind the closing response that ran although their caller takes them for unread.
+TEST_CASE("when connections are about to close, what runs is answered in order and nothing further starts")
 {
     HeldCalls held;
     HttpServer server(serverSettings(), [&](HttpCall call) { held.hold(std::move(call)); });
     RawClient client(kPort);
-    REQUIRE(client.send(get("/safe0") + get("/safe1") + get("/safe2") + post("/once")));
-    REQUIRE(eventually([&] { return held.started() == 3; }));
+    REQUIRE(client.send(get("/safe0") + get("/safe1") + get("/safe2") + get("/safe3") + post("/once")));
+    REQUIRE(eventually([&] { return held.started() == 4; }));
     held.answer("/safe2", "two!");
     server.closeAfterResponses();
+    REQUIRE(client.send(get("/safe4")));
+    rest();
+    CHECK(held.started() == 4);
     held.answer("/safe0", "zero!");
-    CHECK(eventually([&] { return held.cancelled() == std::vector<std::string>{"/safe1"}; }));
-    held.answer("/safe1", "late!");
-    const std::string received = readToEnd(client);
-    CHECK(received.ends_with("Connection: close\r\n\r\nzero!"));
-    CHECK(std::count(received.begin(), received.end(), '!') == 1);
-    CHECK_FALSE(held.has("/once"));
+    CHECK(client.readUntil("zero!").find("Connection: Keep-Alive") != std::string::npos);
+    REQUIRE(client.send(get("/safe5")));
+    held.answer("/safe3", "three!");
+    rest();
+    CHECK(held.cancelled().empty());
+    held.answer("/safe1", "one!");
+    CHECK(client.readUntil("one!").find("Connection: Keep-Alive") != std::string::npos);
+    CHECK(client.readUntil("two!").find("Connection: Keep-Alive") != std::string::npos);
+    const std::string last = readToEnd(client);
+    CHECK(last.ends_with("Connection: close\r\n\r\nthree!"));
+    CHECK(std::count(last.begin(), last.end(), '!') == 1);
+    CHECK(held.started() == 4);
+    CHECK(held.cancelled().empty());
     CHECK(eventually([&] { return server.unsentResponses() == 0; }));
 }
 
+// Guards against a client that keeps a stopping node busy by sending ahead without end.
+TEST_CASE("a connection that is about to close takes no further request, however much its client sends")
+{
+    HeldCalls held;
+    HttpServer server(serverSettings(), [&](HttpCall call) { held.hold(std::move(call)); });
+    RawClient client(kPort);
+    REQUIRE(client.send(get("/safe0") + get("/safe1")));
+    REQUIRE(eventually([&] { return held.started() == 2; }));
+    server.closeAfterResponses();
+    for (int i = 2; i < 300; ++i) {
+        REQUIRE(client.send(get("/safe" + std::to_string(i))));
+    }
+    rest();
+    CHECK(held.started() == 2);
+    CHECK(heldBack(server, HoldReason::Closing) == 1);
+    held.answer("/safe1", "one!");
+    held.answer("/safe0", "zero!");
+    const std::string received = readToEnd(client);
+    CHECK(received.ends_with("Connection: close\r\n\r\none!"));
+    CHECK(std::count(received.begin(), received.end(), '!') == 2);
+    CHECK(held.started() == 2);
+}
+
+// Guards against a connection that closes behind a response that announced that it is kept.
+TEST_CASE("a response that was begun before connections are about to close does not close its connection")
+{
+    constexpr std::size_t kBodyBytes = std::size_t{16} << 20;
+    HeldCalls held;
+    HttpServer server(serverSettings(), [&](HttpCall call) { held.hold(std::move(call)); });
+    RawClient client(kPort);
+    REQUIRE(client.send(get("/safe0")));
+    REQUIRE(eventually([&] { return held.has("/safe0"); }));
+    held.answer("/safe0", std::string(kBodyBytes, 'b') + "zero!");
+    server.closeAfterResponses();
+    REQUIRE(client.send(get("/safe1")));
+    rest();
+    CHECK_FALSE(held.has("/safe1"));
+    CHECK(client.readUntil("zero!", 10000).find("Connection: Keep-Alive") != std::string::npos);
+    REQUIRE(eventually([&] { return held.has("/safe1"); }));
+    held.answer("/safe1", "one!");
+    CHECK(readToEnd(client).ends_with("Connection: close\r\n\r\none!"));
+}
+
 // Guards against a caller's own `Connection: close` that cuts the responses before it, or that lets later input run.
 TEST_CASE("a request that closes the connection is answered in its turn, and nothing behind it is read")
 {
--- a/tests/adapter_responsequeue.cpp
+++ b/tests/adapter_responsequeue.cpp
@@ -113,8 +113,8 @@
     memory.release(1001);
 }
 
-// Guards against requests behind a closing response that go on, and against one whose caller is not told.
-TEST_CASE("a closing response cancels the requests behind it, whatever their state")
+// Guards against requests in progress that are dropped, and against a response before the last that closes.
+TEST_CASE("closing after the last response keeps all requests in progress, whatever their state")
 {
     MemoryBudget memory;
     ResponseQueue queue(memory);
@@ -129,17 +129,24 @@
     queue.setResponse(first, response("one"));
     std::optional<ResponseQueue::Response> next = queue.takeNext();
     REQUIRE(next);
+    queue.closeAfterLast();
+    CHECK(queue.isClosing());
+    CHECK_FALSE(queue.isLast());
+    CHECK_FALSE(queue.isCancelled(second));
+    queue.onWritten(std::move(*next), 3);
+    CHECK(writeNext(queue).empty());
     CHECK_FALSE(queue.isLast());
-    runAll(queue.closeAfterFirst());
-    CHECK(cancelled == "2");
+    CHECK(queue.setResponse(second, response("two")));
+    CHECK(writeNext(queue) == "two");
+    next = queue.takeNext();
+    REQUIRE(next);
+    CHECK(next->header == "three");
     CHECK(queue.isLast());
+    queue.onWritten(std::move(*next), 5);
+    CHECK(queue.isEmpty());
     CHECK(queue.isClosing());
-    CHECK(queue.isCancelled(second));
-    CHECK_FALSE(queue.isCancelled(first));
+    CHECK(cancelled.empty());
     CHECK_FALSE(queue.setResponse(second, response("late")));
-    queue.onWritten(std::move(*next), 3);
-    CHECK(queue.isEmpty());
-    CHECK(writeNext(queue).empty());
     CHECK(memory.used() == 0);
 }
 
