Store all leaves of a host that still bind, not the last one only

Cause: leave/HOST held one leave. An acknowledged leave was overwritten by that of the next process, and was acknowledged without being stored when another followed it at once. Change: LeaveMemory keeps up to 16 leaves of the last minute, one for each id, and adds to what an earlier process has stored. The newest stands where earlier versions read it. Measured: the core tests of LeaveMemory and the adapter tests of announcements pass. Calls to the store are the same: one write for each process that leaves.

--- a/include/fulmarledge/backendlifecycle.h
+++ b/include/fulmarledge/backendlifecycle.h
@@ -24,6 +24,15 @@
     TimeMs warmupMs = 0; ///< remaining time until the process is warm
 };
 
+/// A process of a backend server that has announced that it is leaving.
+struct LeavingBackend {
+    std::string instance;
+    std::int64_t processStartMs = 0; ///< when it started, milliseconds since 1970
+};
+
+/// How long announcements from before a leave may still arrive, with room for clocks that differ.
+constexpr TimeMs kLeaveBindingMs = 60000;
+
 enum class AnnouncementEffect : std::uint8_t {
     Applied, ///< accepted; a new process, or a change of state, service, address or slots
     Repeated, ///< accepted; the current process has changed nothing, or is draining already
--- a/include/fulmarledge/leavememory.h
+++ b/include/fulmarledge/leavememory.h
@@ -5,16 +5,17 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
-#include "fulmarledge/membership.h"
+#include "fulmarledge/backendlifecycle.h"
 #include "fulmarledge/ports.h"
 
 namespace fulmarledge {
 
 constexpr std::string_view kLeaveKind = "leave";
 
-/// Keeps in the platform's store which process of the local backend server has said last that it leaves, so that this
+/// Keeps in the platform's store which processes of the local backend server have said that they leave, so that this
 /// outlives all nodes. Single-threaded, does no I/O of its own. See docs/decisions/drain-acknowledgement.md.
 class LeaveMemory
 {
@@ -28,8 +29,7 @@
     LeaveMemory &operator=(const LeaveMemory &) = delete;
 
     /// Reads what earlier processes of this node have stored, unless that is known. Calls `done` when it is known, or
-    /// after `kWaitLimitMs` without an answer. A leave older than `kBindingMs` counts as none, because a later process
-    /// may have the same id.
+    /// after `kWaitLimitMs` without an answer. A leave older than `kLeaveBindingMs` counts as none.
     /// @param wallClockMs milliseconds since 1970
     void whenKnown(TimeMs now, std::int64_t wallClockMs, Callback done);
     /// Whether the store has told what earlier processes have stored.
@@ -37,13 +37,13 @@
     {
         return m_isKnown;
     }
-    /// The leave that an earlier process has stored, if any. Valid when `isKnown()`.
-    const std::optional<LeavingBackend> &stored() const
+    /// The leaves that earlier processes of this node have stored. Valid when `isKnown()`.
+    const std::vector<LeavingBackend> &stored() const
     {
         return m_stored;
     }
-    /// Stores a leave. Calls `done` when it is stored, or after `kWaitLimitMs`; the write is then repeated until it
-    /// succeeds or `kRepeatLimitMs` is over.
+    /// Stores a leave beside the others that still bind. Calls `done` when it is stored, or after `kWaitLimitMs`; the
+    /// write is then repeated until it succeeds or `kRepeatLimitMs` is over.
     /// @param wallClockMs milliseconds since 1970
     void remember(TimeMs now, std::int64_t wallClockMs, const LeavingBackend &leaving, Callback done);
     /// To be called every 50 ms.
@@ -52,10 +52,15 @@
     /// Longest time for which an announcement waits for the store. Its sender waits for 1 s.
     static constexpr TimeMs kWaitLimitMs = 500;
     static constexpr TimeMs kRepeatLimitMs = 20000;
-    /// How long announcements from before a leave may still arrive, with room for clocks that differ.
-    static constexpr std::int64_t kBindingMs = 60000;
     /// Age from which the objects of other hosts are removed. Announcements are late by seconds.
     static constexpr std::int64_t kKeepMs = 600000;
+    /// Most leaves of one host that are stored. A new process gets the address at most every few seconds.
+    static constexpr std::size_t kMaxLeaves = 16;
+
+    struct Leave {
+        LeavingBackend leaving;
+        std::int64_t storedMs = 0; ///< milliseconds since 1970
+    };
 
 private:
     struct Waiting {
@@ -65,6 +70,12 @@
 
     void read();
     void onRead(const StoreReply &reply);
+    /// Takes over what an earlier process of this node has stored.
+    void merge(std::string_view text);
+    /// Whether the leaves in `m_leaves` cover this one.
+    bool covers(const LeavingBackend &leaving) const;
+    /// Adds a leave, in place of one that it covers, and drops those that no longer bind.
+    void add(const Leave &leave, std::int64_t wallClockMs);
     void write();
     void onWritten(const StoreReply &reply);
     /// Lists the stored leaves now and then, and removes old ones.
@@ -80,13 +91,14 @@
     EventLog &m_log;
     TimeMs m_now = 0;
     std::int64_t m_askedAtMs = 0; ///< when the store was asked, milliseconds since 1970
-    std::int64_t m_leavingAtMs = 0; ///< when `m_leaving` was set, milliseconds since 1970
+    std::int64_t m_changedAtMs = 0; ///< when `remember` last added a leave, milliseconds since 1970
     bool m_isKnown = false;
     bool m_isReading = false;
-    bool m_isWritten = true; ///< `m_leaving` is stored
-    std::optional<LeavingBackend> m_stored;
-    std::optional<LeavingBackend> m_leaving;
-    std::optional<LeavingBackend> m_writing; ///< the write in progress
+    bool m_isWriting = false;
+    bool m_isWritten = true; ///< the store holds all of `m_leaves`
+    bool m_changedSinceWrite = false; ///< `m_leaves` has changed since the write in progress began
+    std::vector<LeavingBackend> m_stored;
+    std::vector<Leave> m_leaves; ///< content of the stored object, newest last
     std::int64_t m_objectVersion = 0; ///< of the stored object, 0 if there is none or it is not known
     TimeMs m_writeAt = 0; ///< when a failed write is repeated
     TimeMs m_giveUpAt = 0;
--- a/include/fulmarledge/membership.h
+++ b/include/fulmarledge/membership.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "fulmarledge/backendlifecycle.h"
 #include "fulmarledge/memberview.h"
 #include "fulmarledge/ports.h"
 
@@ -47,12 +48,6 @@
     std::size_t maxMembers = 65536; ///< further hosts are not added to the table
 };
 
-/// A process of a backend server that has announced that it is leaving.
-struct LeavingBackend {
-    std::string instance;
-    std::int64_t processStartMs = 0; ///< when it started, milliseconds since 1970
-};
-
 /// Keeps the table of the fleet's hosts with their state and liveness, by a gossip protocol after SWIM.
 /// Single-threaded, does no I/O.
 ///
--- a/src/core/leavememory.cpp
+++ b/src/core/leavememory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <span>
 #include <utility>
 
 namespace fulmarledge {
@@ -15,30 +16,54 @@
 constexpr std::uint64_t kSweepInterval = 8;
 constexpr int kMaxRemovals = 16;
 
-struct StoredLeave {
-    LeavingBackend leaving;
-    std::int64_t storedMs = 0; ///< milliseconds since 1970
-};
+json toJson(const LeaveMemory::Leave &leave)
+{
+    return {{"instance", leave.leaving.instance}, {"born", leave.leaving.processStartMs}, {"stored", leave.storedMs}};
+}
 
-std::string toText(const LeavingBackend &leaving, std::int64_t storedMs)
+/// Nodes of earlier versions read the newest leave only, so it stands at the top level.
+std::string toText(std::span<const LeaveMemory::Leave> leaves)
 {
-    return json{{"instance", leaving.instance}, {"born", leaving.processStartMs}, {"stored", storedMs}}.dump();
+    json document = toJson(leaves.back());
+    json earlier = json::array();
+    for (const LeaveMemory::Leave &leave : leaves.first(leaves.size() - 1)) {
+        earlier.push_back(toJson(leave));
+    }
+    if (!earlier.empty()) {
+        document["earlier"] = std::move(earlier);
+    }
+    return document.dump();
 }
 
-std::optional<StoredLeave> parse(std::string_view text)
+std::optional<LeaveMemory::Leave> fromJson(const json &value)
 {
-    const json value = json::parse(text, nullptr, false);
     if (!value.is_object() || !value.contains("instance") || !value["instance"].is_string() || !value.contains("born")
         || !value["born"].is_number_integer() || !value.contains("stored") || !value["stored"].is_number_integer()) {
         return std::nullopt;
     }
-    return StoredLeave{{value["instance"].get<std::string>(), value["born"].get<std::int64_t>()},
-                       value["stored"].get<std::int64_t>()};
+    return LeaveMemory::Leave{{value["instance"].get<std::string>(), value["born"].get<std::int64_t>()},
+                              value["stored"].get<std::int64_t>()};
 }
 
-bool isSame(const LeavingBackend &a, const LeavingBackend &b)
+/// Leaves of a stored object, newest last. Empty if it is unreadable.
+std::vector<LeaveMemory::Leave> parse(std::string_view text)
 {
-    return a.instance == b.instance && a.processStartMs == b.processStartMs;
+    std::vector<LeaveMemory::Leave> leaves;
+    const json value = json::parse(text, nullptr, false);
+    const std::optional<LeaveMemory::Leave> newest = fromJson(value);
+    if (!newest) {
+        return leaves;
+    }
+    const auto earlier = value.find("earlier");
+    if (earlier != value.end() && earlier->is_array()) {
+        for (const json &entry : *earlier) {
+            if (const auto leave = fromJson(entry); leave && leaves.size() < LeaveMemory::kMaxLeaves) {
+                leaves.push_back(*leave);
+            }
+        }
+    }
+    leaves.push_back(*newest);
+    return leaves;
 }
 
 } // namespace
@@ -72,27 +97,47 @@
 void LeaveMemory::remember(TimeMs now, std::int64_t wallClockMs, const LeavingBackend &leaving, Callback done)
 {
     m_now = now;
-    if (m_leaving && isSame(*m_leaving, leaving) && m_isWritten) {
+    const bool isCovered = covers(leaving);
+    if (isCovered && m_isWritten) {
         done();
         return;
     }
     m_waitingForWrite.push_back({now + kWaitLimitMs, std::move(done)});
-    if (m_writing && isSame(*m_writing, leaving)) {
-        return;
+    if (!isCovered) {
+        add({leaving, wallClockMs}, wallClockMs);
+        m_changedAtMs = wallClockMs;
+        m_changedSinceWrite = true;
     }
-    m_leaving = leaving;
-    m_leavingAtMs = wallClockMs;
     m_isWritten = false;
     m_giveUpAt = now + kRepeatLimitMs;
-    if (!m_writing) {
+    if (!m_isWriting) {
         write();
     }
 }
 
+bool LeaveMemory::covers(const LeavingBackend &leaving) const
+{
+    return std::any_of(m_leaves.begin(), m_leaves.end(), [&](const Leave &known) {
+        return known.leaving.instance == leaving.instance && known.leaving.processStartMs >= leaving.processStartMs;
+    });
+}
+
+void LeaveMemory::add(const Leave &leave, std::int64_t wallClockMs)
+{
+    std::erase_if(m_leaves, [&](const Leave &known) {
+        return known.leaving.instance == leave.leaving.instance || wallClockMs - known.storedMs > kLeaveBindingMs;
+    });
+    m_leaves.push_back(leave);
+    if (m_leaves.size() > kMaxLeaves) {
+        m_leaves.erase(m_leaves.begin());
+        m_metrics.count("leave_store", "dropped", 1);
+    }
+}
+
 void LeaveMemory::tick(TimeMs now)
 {
     m_now = now;
-    if (!m_isWritten && !m_writing && now >= m_writeAt && now < m_giveUpAt) {
+    if (!m_isWritten && !m_isWriting && now >= m_writeAt && now < m_giveUpAt) {
         write();
     }
     for (std::vector<Waiting> *list : {&m_waitingForRead, &m_waitingForWrite}) {
@@ -146,28 +191,50 @@
         return;
     }
     m_objectVersion = isMissing ? 0 : reply.objects.front().version;
-    if (!m_isKnown && !isMissing) {
-        const auto stored = parse(reply.objects.front().value);
-        if (!stored) {
-            m_log.event("leave-unreadable", "it is replaced by the next one");
-        } else if (m_askedAtMs - stored->storedMs <= kBindingMs) {
-            m_stored = stored->leaving;
-            m_log.event("leave-read", "instance=" + m_stored->instance);
-        }
+    if (!isMissing) {
+        merge(reply.objects.front().value);
     }
     m_isKnown = true;
     finish(m_waitingForRead);
     // A write that met an object of unknown version waits for this.
-    if (!m_isWritten && !m_writing) {
+    if (!m_isWritten && !m_isWriting) {
         write();
     }
 }
 
+void LeaveMemory::merge(std::string_view text)
+{
+    const std::vector<Leave> stored = parse(text);
+    if (stored.empty()) {
+        m_log.event("leave-unreadable", "it is replaced by the next one");
+    }
+    const std::int64_t wallClockMs = std::max(m_askedAtMs, m_changedAtMs);
+    std::vector<Leave> known = std::exchange(m_leaves, {});
+    for (const Leave &leave : stored) {
+        if (wallClockMs - leave.storedMs > kLeaveBindingMs) {
+            continue;
+        }
+        add(leave, wallClockMs);
+        if (!m_isKnown) {
+            m_stored.push_back(leave.leaving);
+            m_log.event("leave-read", "instance=" + leave.leaving.instance);
+        }
+    }
+    // What this process has heard is newer.
+    for (const Leave &leave : known) {
+        if (!covers(leave.leaving)) {
+            add(leave, wallClockMs);
+        }
+    }
+    m_changedSinceWrite = true;
+}
+
 void LeaveMemory::write()
 {
-    m_writing = m_leaving;
+    m_isWriting = true;
+    m_changedSinceWrite = false;
     m_metrics.count("leave_store", "write", 1);
-    const std::string text = toText(*m_leaving, m_leavingAtMs);
+    const std::string text = toText(m_leaves);
     if (m_objectVersion == 0) {
         m_store.create(kLeaveKind, m_host, text, guarded(&LeaveMemory::onWritten));
     } else {
@@ -177,11 +244,12 @@
 
 void LeaveMemory::onWritten(const StoreReply &reply)
 {
-    const LeavingBackend written = *std::exchange(m_writing, std::nullopt);
+    m_isWriting = false;
     if (reply.status == StoreStatus::Ok) {
         m_objectVersion = reply.objects.empty() ? 0 : reply.objects.front().version;
-        m_log.event("leave-stored", "instance=" + written.instance);
-        if (!isSame(written, *m_leaving)) {
+        m_log.event("leave-stored",
+                    "instance=" + m_leaves.back().leaving.instance + " leaves=" + std::to_string(m_leaves.size()));
+        if (m_changedSinceWrite) {
             write();
             return;
         }
@@ -208,8 +276,8 @@
 {
     int removals = 0;
     for (const StoreObject &object : reply.objects) {
-        const auto stored = parse(object.value);
-        const bool isOld = !stored || m_leavingAtMs - stored->storedMs > kKeepMs;
+        const std::vector<Leave> stored = parse(object.value);
+        const bool isOld = stored.empty() || m_changedAtMs - stored.back().storedMs > kKeepMs;
         if (object.name != m_host && isOld && removals < kMaxRemovals) {
             ++removals;
             // A leave that was stored meanwhile has another version and stays.
--- a/src/programs/node_backend.cpp
+++ b/src/programs/node_backend.cpp
@@ -181,8 +181,8 @@
 {
     if (m_leaveMemory.isKnown() && !m_storedLeaveApplied) {
         m_storedLeaveApplied = true;
-        if (m_leaveMemory.stored()) {
-            onLeaving(*m_leaveMemory.stored());
+        for (const LeavingBackend &leaving : m_leaveMemory.stored()) {
+            onLeaving(leaving);
         }
     }
 }
--- a/tests/adapter_backendannouncements.cpp
+++ b/tests/adapter_backendannouncements.cpp
@@ -178,6 +178,30 @@
     }
 }
 
+// Guards against an acknowledged leave that a later one of another process overwrites in the store.
+TEST_CASE("the leaves of several processes outlast the node that acknowledged them")
+{
+    const bool isKilledBetween = GENERATE(false, true);
+    HeldStore store;
+    {
+        auto node = std::make_unique<StartedNode>(store);
+        CHECK(node->beat("i-1", 1000, 1) == 200);
+        CHECK(node->leave("i-1") == 200);
+        if (isKilledBetween) {
+            node = std::make_unique<StartedNode>(store);
+        }
+        CHECK(node->beat("i-3", 5000, 1) == 200);
+        CHECK(node->beat("i-3", 5000, 2, "draining") == 200);
+    }
+    StartedNode node(store);
+    CHECK(node.beat("i-1", 1000, 2) == 200);
+    CHECK_FALSE(node.isServing());
+    CHECK(node.beat("i-3", 5000, 1) == 200);
+    CHECK_FALSE(node.isServing());
+    CHECK(node.beat("i-4", 6000, 1) == 200);
+    CHECK(node.isServing());
+}
+
 // Guards against review case 8, an announcement of another writer that ends the node because its id is no text.
 TEST_CASE("an announcement whose id is no text is refused, and the backend server stays as it is")
 {
