Store a leave that states no start before it is acknowledged

Cause: a DELETE names an id and no start of a process. A node that had not heard the process could not say which one left, acknowledged the leave without storing it and ignored the id for 8 s in its own memory only. Change: a leave without a start binds the newest process of its id that was heard, or else all that started before the leave, with 1 s for clocks that differ. Every leave and drain is stored before it is acknowledged. A later process of the same id is taken at once. One older core test demanded the 8 s; it now demands refusal after 9 s too, and the later process at once.

--- a/include/fulmarledge/backendlifecycle.h
+++ b/include/fulmarledge/backendlifecycle.h
@@ -24,14 +24,18 @@
     TimeMs warmupMs = 0; ///< remaining time until the process is warm
 };
 
-/// A process of a backend server that has announced that it is leaving.
+/// Processes of a backend server that have announced that they are leaving: those with this id that started up to then.
 struct LeavingBackend {
     std::string instance;
-    std::int64_t processStartMs = 0; ///< when it started, milliseconds since 1970
+    std::int64_t processStartMs = 0; ///< latest start among them, milliseconds since 1970
 };
 
 /// How long announcements from before a leave may still arrive, with room for clocks that differ.
 constexpr TimeMs kLeaveBindingMs = 60000;
+/// How far the clocks of a node and of the backend server beside it may differ, so that a leave that states no start
+/// binds its own process and not the next one with the same id. That one starts later by this time at least, because
+/// the process that leaves goes on serving for longer.
+constexpr std::int64_t kLeaveClockErrorMs = 1000;
 
 enum class AnnouncementEffect : std::uint8_t {
     Applied, ///< accepted; a new process, or a change of state, service, address or slots
@@ -47,9 +51,14 @@
     /// Applies an announcement, unless it is stale.
     AnnouncementEffect apply(const BackendAnnouncement &notice, TimeMs now);
 
-    /// Marks a process as leaving, even before its first announcement.
+    /// The processes that an announcement says to be leaving. Where it states no start, these are the newest process
+    /// of its id that has been heard and those before it, or else all that started before now.
+    /// @param wallClockMs milliseconds since 1970
+    LeavingBackend leavingProcesses(const BackendAnnouncement &notice, TimeMs now, std::int64_t wallClockMs) const;
+
+    /// Marks processes as leaving, even before their first announcements, for `kLeaveBindingMs`.
     /// @return true when `current()` changed
-    bool retire(std::string_view instance, std::int64_t processStartMs);
+    bool retire(const LeavingBackend &leaving, TimeMs now);
 
     /// Newest announcement. Its state stays Draining once the process has announced that it drains or leaves.
     const BackendAnnouncement &current() const
@@ -68,19 +77,19 @@
     }
 
 private:
-    /// A process whose last announcement arrived while it was not the current one.
-    struct LeftProcess {
-        std::string instance;
-        TimeMs ignoredUntil = 0; ///< its announcements are ignored before this time
+    struct RetiredProcess {
+        LeavingBackend process;
+        TimeMs retiredAt = 0;
+        bool wasCurrent = false; ///< its start is known from its announcements, and it stays retired
     };
 
+    bool isRetired(const BackendAnnouncement &notice, TimeMs now) const;
     bool isFromEarlierProcess(const BackendAnnouncement &notice, TimeMs now) const;
-    void rememberRetired(const BackendAnnouncement &notice);
+    void rememberRetired(const RetiredProcess &retired);
 
     BackendAnnouncement m_current;
     TimeMs m_lastHeard = 0;
-    std::deque<LeftProcess> m_leftProcesses;
-    std::deque<BackendAnnouncement> m_retired; ///< processes that were replaced or have left
+    std::deque<RetiredProcess> m_retired; ///< processes that were replaced or have left
 };
 
 } // namespace fulmarledge
--- a/src/core/backendlifecycle.cpp
+++ b/src/core/backendlifecycle.cpp
@@ -12,18 +12,26 @@
 /// A process that was heard within this time counts as alive, so that another one with an earlier start is rejected.
 /// Several announcement periods.
 constexpr TimeMs kPresumedAliveMs = 5000;
-/// How long announcements of a process are ignored after its last one. They are late by seconds. The time is bounded,
-/// because the last announcement does not state the start of the process and a later process may have the same id.
-constexpr TimeMs kIgnoreLeftMs = 8000;
+/// How long a leave is repeated by a sender that gets no acknowledgement. A later one with the same id comes from
+/// another process.
+constexpr TimeMs kLeaveRepeatMs = 8000;
 
 } // namespace
 
+bool BackendLifecycle::isRetired(const BackendAnnouncement &notice, TimeMs now) const
+{
+    return std::any_of(m_retired.begin(), m_retired.end(), [&](const RetiredProcess &retired) {
+        // A clock that has jumped back must not keep a later process out of service for ever.
+        const bool isBinding = retired.wasCurrent || now - retired.retiredAt <= kLeaveBindingMs;
+        return isBinding && retired.process.instance == notice.instance
+            && notice.processStartMs <= retired.process.processStartMs;
+    });
+}
+
 bool BackendLifecycle::isFromEarlierProcess(const BackendAnnouncement &notice, TimeMs now) const
 {
-    for (const BackendAnnouncement &retired : m_retired) {
-        if (retired.instance == notice.instance && notice.processStartMs <= retired.processStartMs) {
-            return true;
-        }
+    if (isRetired(notice, now)) {
+        return true;
     }
     if (!hasCurrent() || notice.processStartMs == 0 || m_current.processStartMs == 0
         || notice.processStartMs >= m_current.processStartMs) {
@@ -34,27 +42,50 @@
     return notice.instance == m_current.instance || now - m_lastHeard < kPresumedAliveMs;
 }
 
-void BackendLifecycle::rememberRetired(const BackendAnnouncement &notice)
+void BackendLifecycle::rememberRetired(const RetiredProcess &retired)
 {
-    const auto isSame = [&](const BackendAnnouncement &retired) {
-        return retired.instance == notice.instance && retired.processStartMs == notice.processStartMs;
-    };
-    if (std::any_of(m_retired.begin(), m_retired.end(), isSame)) {
+    const auto known = std::find_if(m_retired.begin(), m_retired.end(), [&](const RetiredProcess &other) {
+        return other.process.instance == retired.process.instance
+            && other.process.processStartMs == retired.process.processStartMs;
+    });
+    if (known != m_retired.end()) {
+        known->wasCurrent = known->wasCurrent || retired.wasCurrent;
+        known->retiredAt = retired.retiredAt;
         return;
     }
-    m_retired.push_back(notice);
+    m_retired.push_back(retired);
     if (m_retired.size() > kMaxRetired) {
         m_retired.pop_front();
     }
 }
 
-bool BackendLifecycle::retire(std::string_view instance, std::int64_t processStartMs)
+LeavingBackend BackendLifecycle::leavingProcesses(const BackendAnnouncement &notice, TimeMs now,
+                                                  std::int64_t wallClockMs) const
 {
-    BackendAnnouncement notice;
-    notice.instance = instance;
-    notice.processStartMs = processStartMs;
-    rememberRetired(notice);
-    if (m_current.instance != instance || m_current.processStartMs > processStartMs || m_current.isLeaving) {
+    LeavingBackend leaving{notice.instance, notice.processStartMs};
+    if (leaving.processStartMs > 0) {
+        return leaving;
+    }
+    if (m_current.instance == notice.instance) {
+        leaving.processStartMs = m_current.processStartMs;
+    }
+    for (const RetiredProcess &retired : m_retired) {
+        if (retired.process.instance == notice.instance
+            && (retired.wasCurrent || now - retired.retiredAt <= kLeaveRepeatMs)) {
+            leaving.processStartMs = std::max(leaving.processStartMs, retired.process.processStartMs);
+        }
+    }
+    if (leaving.processStartMs == 0) {
+        leaving.processStartMs = wallClockMs + kLeaveClockErrorMs;
+    }
+    return leaving;
+}
+
+bool BackendLifecycle::retire(const LeavingBackend &leaving, TimeMs now)
+{
+    rememberRetired({leaving, now, false});
+    if (m_current.instance != leaving.instance || m_current.processStartMs > leaving.processStartMs
+        || m_current.isLeaving) {
         return false;
     }
     m_current.isLeaving = true;
@@ -67,15 +98,7 @@
     const bool sameProcess = notice.instance == m_current.instance
         && (notice.processStartMs == m_current.processStartMs || notice.isLeaving);
     if (notice.isLeaving) {
-        if (!sameProcess) {
-            // A restarted node may receive the last announcement before earlier ones that are still on their way.
-            m_leftProcesses.push_back({notice.instance, now + kIgnoreLeftMs});
-            if (m_leftProcesses.size() > kMaxRetired) {
-                m_leftProcesses.pop_front();
-            }
-            return AnnouncementEffect::Stale;
-        }
-        if (m_current.isLeaving) {
+        if (!sameProcess || m_current.isLeaving) {
             return AnnouncementEffect::Stale;
         }
         m_current.isLeaving = true;
@@ -83,15 +106,12 @@
         m_lastHeard = now;
         return AnnouncementEffect::Applied;
     }
-    const bool hasLeft = std::any_of(m_leftProcesses.begin(), m_leftProcesses.end(), [&](const LeftProcess &process) {
-        return process.instance == notice.instance && now < process.ignoredUntil;
-    });
-    if (hasLeft || isFromEarlierProcess(notice, now)) {
+    if (isFromEarlierProcess(notice, now)) {
         return AnnouncementEffect::Stale;
     }
     if (!sameProcess) {
         if (hasCurrent()) {
-            rememberRetired(m_current);
+            rememberRetired({{m_current.instance, m_current.processStartMs}, now, true});
         }
         m_current = notice;
         m_lastHeard = now;
--- a/src/programs/node_backend.cpp
+++ b/src/programs/node_backend.cpp
@@ -44,8 +44,13 @@
 {
     logEvent("backend-remembered-leaving",
              "instance=" + leaving.instance + " born=" + std::to_string(leaving.processStartMs));
-    if (m_lifecycle.retire(leaving.instance, leaving.processStartMs)) {
-        applyCurrentNotice(monotonicMs());
+    retire(leaving, monotonicMs());
+}
+
+void BackendAnnouncements::retire(const LeavingBackend &leaving, TimeMs now)
+{
+    if (m_lifecycle.retire(leaving, now)) {
+        applyCurrentNotice(now);
     }
 }
 
@@ -123,44 +128,61 @@
         call.responder->send(kHttpBadRequest, {}, "");
         return;
     }
-    const bool leaves = notice->isLeaving || notice->state == wire::HostState::Draining;
-    if (!leaves && !m_takesNotices) {
+    if (notice->isLeaving || notice->state == wire::HostState::Draining) {
+        if (const auto leaving = applyLeave(*notice)) {
+            m_leaveMemory.remember(monotonicMs(), wallClockMs(), *leaving,
+                                   [call] { call.responder->send(kHttpOk, {}, ""); });
+        } else {
+            call.responder->send(kHttpOk, {}, "");
+        }
+        return;
+    }
+    if (!m_takesNotices) {
         // An earlier process of this node may have acknowledged that this process leaves.
         if (m_heldNotices.size() == kMaxHeldNotices) {
             m_heldNotices.erase(m_heldNotices.begin());
         }
         m_heldNotices.push_back(*notice);
         m_leaveMemory.whenKnown(monotonicMs(), wallClockMs(), [this] { applyHeldNotices(); });
-        call.responder->send(kHttpOk, {}, "");
-        return;
-    }
-    applyNotice(*notice);
-    if (const auto leaving = leavingProcess(*notice)) {
-        m_leaveMemory.remember(monotonicMs(), wallClockMs(), *leaving,
-                               [call] { call.responder->send(kHttpOk, {}, ""); });
     } else {
-        call.responder->send(kHttpOk, {}, "");
+        applyNotice(*notice);
     }
+    call.responder->send(kHttpOk, {}, "");
 }
 
-std::optional<LeavingBackend> BackendAnnouncements::leavingProcess(const BackendAnnouncement &notice)
+std::optional<LeavingBackend> BackendAnnouncements::applyLeave(BackendAnnouncement notice)
 {
-    const BackendAnnouncement &current = m_lifecycle.current();
-    if (notice.instance == current.instance && current.state == wire::HostState::Draining) {
-        return LeavingBackend{current.instance, current.processStartMs};
-    }
-    const auto isSame = [&](const BackendAnnouncement &held) { return held.instance == notice.instance; };
-    const auto held = std::find_if(m_heldNotices.begin(), m_heldNotices.end(), isSame);
-    if (!notice.isLeaving || held == m_heldNotices.end()) {
-        return std::nullopt;
-    }
-    // The last announcement does not state the start of its process, but those that are held do.
-    const LeavingBackend leaving{held->instance, held->processStartMs};
-    std::erase_if(m_heldNotices, isSame);
-    onLeaving(leaving);
+    const TimeMs now = monotonicMs();
+    LeavingBackend leaving = m_lifecycle.leavingProcesses(notice, now, wallClockMs());
+    if (notice.processStartMs == 0) {
+        for (const BackendAnnouncement &held : m_heldNotices) {
+            if (held.instance == notice.instance) {
+                leaving.processStartMs = std::max(leaving.processStartMs, held.processStartMs);
+            }
+        }
+        notice.processStartMs = leaving.processStartMs;
+    }
+    applyNotice(notice);
+    if (isCurrent(leaving)) {
+        const bool isOutdated = m_lifecycle.current().state != wire::HostState::Draining;
+        return isOutdated ? std::nullopt : std::optional(leaving);
+    }
+    logEvent("leave-of-other",
+             "instance=" + leaving.instance + " born_until=" + std::to_string(leaving.processStartMs));
+    retire(leaving, now);
+    // The other members remember one leave of each host. That of the current process matters more.
+    if (m_lifecycle.current().state != wire::HostState::Draining) {
+        m_control.setLeavingBackend(now, leaving.instance, leaving.processStartMs);
+    }
     return leaving;
 }
 
+bool BackendAnnouncements::isCurrent(const LeavingBackend &leaving) const
+{
+    const BackendAnnouncement &current = m_lifecycle.current();
+    return current.instance == leaving.instance && current.processStartMs == leaving.processStartMs;
+}
+
 void BackendAnnouncements::applyHeldNotices()
 {
     if (!m_readTriedAtMs) {
--- a/src/programs/node_backend.h
+++ b/src/programs/node_backend.h
@@ -46,8 +46,12 @@
 
 private:
     void logEvent(std::string_view name, const std::string &detail);
-    /// The process that leaves, after a notice that says so has been applied. Forgets its held notices.
-    std::optional<LeavingBackend> leavingProcess(const BackendAnnouncement &notice);
+    /// Applies a notice of a process that drains or leaves.
+    /// @return the processes that leave, to be stored before the notice is acknowledged; none if it is outdated
+    std::optional<LeavingBackend> applyLeave(BackendAnnouncement notice);
+    void retire(const LeavingBackend &leaving, TimeMs now);
+    /// Whether the backend server in service, or the last one, is among these.
+    bool isCurrent(const LeavingBackend &leaving) const;
     /// Applies the held notices once it is known, from the store or other members, which process has left.
     void applyHeldNotices();
     void applyStoredLeave();
--- a/tests/adapter_backendannouncements.cpp
+++ b/tests/adapter_backendannouncements.cpp
@@ -86,7 +86,7 @@
     {
     }
     /// Sends a heartbeat of a ready process. Returns the status of the reply, 0 without one.
-    int beat(const std::string &instance, int born, int sequence, const std::string &state = "ready")
+    int beat(const std::string &instance, std::int64_t born, int sequence, const std::string &state = "ready")
     {
         return call("PUT", instance,
                     R"({"service":"bookings","address":"127.0.0.1:9000","slots":4,"state":")" + state + R"(","seq":)"
@@ -178,30 +178,133 @@
     }
 }
 
+// Guards against review case 9, a leave that is the first announcement that a node hears and is forgotten when the node
+// is killed.
+TEST_CASE("a leave that states no start is stored before it is acknowledged, and binds what started before it")
+{
+    const std::int64_t now = wallClockMs();
+    HeldStore store;
+    {
+        StartedNode earlier(store);
+        store.holdsReplies = true;
+        CHECK(earlier.leave("i-1") == 0);
+        store.releaseReplies();
+        CHECK(earlier.beat("i-1", now - 3000, 8) == 200);
+        CHECK_FALSE(earlier.isServing());
+    }
+    for (int restarts = 0; restarts < 2; ++restarts) {
+        StartedNode node(store);
+        CHECK(node.beat("i-1", now - 3000, 9) == 200);
+        CHECK_FALSE(node.isServing());
+        CHECK(node.beat("i-1", now - 60000, 70) == 200);
+        CHECK_FALSE(node.isServing());
+    }
+    // The next process with the same id starts after its predecessor has served on for drainMs.
+    StartedNode node(store);
+    CHECK(node.beat("i-1", now + 2000, 1) == 200);
+    CHECK(node.isServing());
+}
+
+// Guards against a call to the store for each repetition of a leave.
+TEST_CASE("a leave that is repeated until it is acknowledged is stored once")
+{
+    HeldStore store;
+    StartedNode node(store);
+    CHECK(node.leave("i-1") == 200);
+    const int calls = store.calls;
+    CHECK(node.leave("i-1") == 200);
+    CHECK(node.leave("i-1") == 200);
+    CHECK(store.calls == calls);
+}
+
+// Guards against a draining announcement of another writer that leaves the start out and so binds no process.
+TEST_CASE("a process that drains without stating its start stays out of service when its node is killed")
+{
+    const std::int64_t now = wallClockMs();
+    HeldStore store;
+    {
+        StartedNode earlier(store);
+        CHECK(earlier.beat("i-1", 0, 8, "draining") == 200);
+        const int calls = store.calls;
+        CHECK(earlier.beat("i-1", 0, 9, "draining") == 200);
+        CHECK(store.calls == calls);
+    }
+    StartedNode node(store);
+    CHECK(node.beat("i-1", now - 3000, 7) == 200);
+    CHECK_FALSE(node.isServing());
+    CHECK(node.beat("i-1", now + 2000, 1) == 200);
+    CHECK(node.isServing());
+}
+
 // Guards against an acknowledged leave that a later one of another process overwrites in the store.
 TEST_CASE("the leaves of several processes outlast the node that acknowledged them")
 {
     const bool isKilledBetween = GENERATE(false, true);
+    const std::int64_t now = wallClockMs();
     HeldStore store;
     {
         auto node = std::make_unique<StartedNode>(store);
-        CHECK(node->beat("i-1", 1000, 1) == 200);
+        CHECK(node->beat("i-1", now - 9000, 1) == 200);
         CHECK(node->leave("i-1") == 200);
         if (isKilledBetween) {
             node = std::make_unique<StartedNode>(store);
         }
-        CHECK(node->beat("i-3", 5000, 1) == 200);
-        CHECK(node->beat("i-3", 5000, 2, "draining") == 200);
+        CHECK(node->leave("i-2") == 200);
+        CHECK(node->beat("i-3", now - 5000, 1) == 200);
+        CHECK(node->beat("i-3", now - 5000, 2, "draining") == 200);
     }
     StartedNode node(store);
-    CHECK(node.beat("i-1", 1000, 2) == 200);
+    CHECK(node.beat("i-1", now - 9000, 2) == 200);
     CHECK_FALSE(node.isServing());
-    CHECK(node.beat("i-3", 5000, 1) == 200);
+    CHECK(node.beat("i-2", now - 7000, 2) == 200);
     CHECK_FALSE(node.isServing());
-    CHECK(node.beat("i-4", 6000, 1) == 200);
+    CHECK(node.beat("i-3", now - 5000, 1) == 200);
+    CHECK_FALSE(node.isServing());
+    CHECK(node.beat("i-4", now - 4000, 1) == 200);
     CHECK(node.isServing());
 }
 
+// Guards against a leave of a process that was replaced, which is acknowledged and binds only the node that heard it.
+TEST_CASE("the leave of an earlier process leaves the current one in service and is stored")
+{
+    HeldStore store;
+    {
+        StartedNode earlier(store);
+        CHECK(earlier.beat("i-1", 100, 1) == 200);
+        CHECK(earlier.beat("i-2", 200, 1) == 200);
+        CHECK(earlier.leave("i-1") == 200);
+        CHECK(earlier.isServing());
+        CHECK(earlier.beat("i-2", 200, 2) == 200);
+        CHECK(earlier.isServing());
+    }
+    StartedNode node(store);
+    CHECK(node.beat("i-1", 100, 9) == 200);
+    CHECK_FALSE(node.isServing());
+    CHECK(node.beat("i-2", 200, 3) == 200);
+    CHECK(node.isServing());
+}
+
+// Guards against a leave that binds only the older one of two processes whose announcements are held.
+TEST_CASE("a leave binds all held announcements of its id")
+{
+    const std::int64_t now = wallClockMs();
+    HeldStore store;
+    store.failure = StoreStatus::Unavailable;
+    StartedNode node(store);
+    CHECK(node.beat("i-1", now - 9000, 5) == 200);
+    CHECK(node.beat("i-1", now - 4000, 1) == 200);
+    CHECK(node.leave("i-1") == 0);
+    store.failure = StoreStatus::Ok;
+    node.announcements.tick(monotonicMs() + 2000);
+    node.announcements.tick(monotonicMs() + 4000);
+    CHECK_FALSE(node.isServing());
+    CHECK(node.beat("i-1", now - 4000, 2) == 200);
+    CHECK_FALSE(node.isServing());
+    StartedNode next(store);
+    CHECK(next.beat("i-1", now - 4000, 3) == 200);
+    CHECK_FALSE(next.isServing());
+}
+
 // Guards against review case 8, an announcement of another writer that ends the node because its id is no text.
 TEST_CASE("an announcement whose id is no text is refused, and the backend server stays as it is")
 {
--- a/tests/core_backendlifecycle.cpp
+++ b/tests/core_backendlifecycle.cpp
@@ -83,28 +83,88 @@
 TEST_CASE("a process that others remember as leaving is not accepted again")
 {
     BackendLifecycle retiredFirst;
-    CHECK_FALSE(retiredFirst.retire("a", 1000));
+    CHECK_FALSE(retiredFirst.retire({"a", 1000}, 0));
     CHECK(retiredFirst.apply(notice("a", 1000, 19), 0) == AnnouncementEffect::Stale);
     CHECK_FALSE(retiredFirst.hasCurrent());
     // The same id with a later start is a new process.
     CHECK(retiredFirst.apply(notice("a", 2000, 1), 10) == AnnouncementEffect::Applied);
     BackendLifecycle announcedFirst;
     CHECK(announcedFirst.apply(notice("a", 1000, 19), 0) == AnnouncementEffect::Applied);
-    CHECK(announcedFirst.retire("a", 1000));
+    CHECK(announcedFirst.retire({"a", 1000}, 0));
     CHECK(announcedFirst.current().state == wire::HostState::Draining);
     CHECK(announcedFirst.apply(notice("a", 1000, 20), 10) == AnnouncementEffect::Stale);
-    CHECK_FALSE(announcedFirst.retire("b", 1000));
+    CHECK_FALSE(announcedFirst.retire({"b", 1000}, 0));
 }
 
 // Guards against a late announcement that brings back a process after a restarted node has received the last one first.
 // Seen in the run hunt-594a-19 of adebayo-mesh.
 TEST_CASE("a process that left before its first announcement arrived is not accepted")
 {
+    constexpr std::int64_t kLeftAtMs = 3000; // wall clock
     BackendLifecycle life;
     CHECK(life.apply(lastNotice("a"), 0) == AnnouncementEffect::Stale);
+    const LeavingBackend leaving = life.leavingProcesses(lastNotice("a"), 0, kLeftAtMs);
+    CHECK(leaving.instance == "a");
+    CHECK(leaving.processStartMs == kLeftAtMs + kLeaveClockErrorMs);
+    CHECK_FALSE(life.retire(leaving, 0));
     CHECK(life.apply(notice("a", 1000, 19), 1200) == AnnouncementEffect::Stale);
     CHECK_FALSE(life.hasCurrent());
     CHECK(life.apply(notice("b", 3000, 1), 1300) == AnnouncementEffect::Applied);
-    // After 8 s the same id can belong to a later process.
+    CHECK(life.apply(notice("a", 1000, 20), 9000) == AnnouncementEffect::Stale);
+    // The same id can belong to a later process.
     CHECK(life.apply(notice("a", 9000, 1), 9000) == AnnouncementEffect::Applied);
 }
+
+// Guards against clocks that differ: a process that left comes back, or the next one with its id stays out of service.
+TEST_CASE("a leave that states no start binds by the clock, with room for a difference")
+{
+    constexpr std::int64_t kLeftAtMs = 100000;
+    const std::int64_t clockError = GENERATE(-kLeaveClockErrorMs, 0, kLeaveClockErrorMs);
+    BackendLifecycle life;
+    life.retire(life.leavingProcesses(lastNotice("a"), 0, kLeftAtMs), 0);
+    CHECK(life.apply(notice("a", kLeftAtMs + clockError, 2), 100) == AnnouncementEffect::Stale);
+    CHECK(life.apply(notice("a", 0, 2), 100) == AnnouncementEffect::Stale);
+    // A process serves for longer than that after it leaves, and then the next one starts.
+    const std::int64_t nextStartMs = kLeftAtMs + 2 * kLeaveClockErrorMs + 1 + clockError;
+    CHECK(life.apply(notice("a", nextStartMs, 1), 200) == AnnouncementEffect::Applied);
+}
+
+// Guards against a process that a clock, which has jumped back, keeps out of service for ever.
+TEST_CASE("a leave that was not heard from its process binds for a minute")
+{
+    BackendLifecycle life;
+    life.retire({"a", 900000}, 0);
+    CHECK(life.apply(notice("a", 100000, 5), kLeaveBindingMs) == AnnouncementEffect::Stale);
+    CHECK(life.apply(notice("a", 100000, 6), kLeaveBindingMs + 1) == AnnouncementEffect::Applied);
+    // A process that was heard stays known.
+    life.apply(notice("b", 200000, 1), 70000);
+    CHECK(life.apply(notice("a", 100000, 7), 1000000) == AnnouncementEffect::Stale);
+}
+
+// Guards against a leave that binds another process than the one that it comes from, for each state of knowledge.
+TEST_CASE("a leave without a start binds the newest process of its id that is known")
+{
+    constexpr std::int64_t kNowMs = 50000; // wall clock
+    const auto binds = [](const BackendLifecycle &life, TimeMs now) {
+        return life.leavingProcesses(lastNotice("a"), now, kNowMs).processStartMs;
+    };
+    BackendLifecycle never;
+    CHECK(binds(never, 0) == kNowMs + kLeaveClockErrorMs);
+    BackendLifecycle other;
+    other.apply(notice("b", 1000, 1), 0);
+    CHECK(binds(other, 0) == kNowMs + kLeaveClockErrorMs);
+    BackendLifecycle current;
+    current.apply(notice("a", 1000, 1), 0);
+    CHECK(binds(current, 0) == 1000);
+    current.apply(notice("b", 2000, 1), 0);
+    CHECK(binds(current, 100000) == 1000);
+    current.apply(notice("a", 3000, 1), 10);
+    CHECK(binds(current, 0) == 3000);
+    // While the sender repeats its leave, the same processes are meant, and later others.
+    BackendLifecycle repeated;
+    repeated.retire({"a", 20000}, 0);
+    CHECK(binds(repeated, 5000) == 20000);
+    CHECK(binds(repeated, 20000) == kNowMs + kLeaveClockErrorMs);
+    // A draining announcement that states its start binds that one.
+    CHECK(current.leavingProcesses(notice("a", 700, 1, wire::HostState::Draining), 0, kNowMs).processStartMs == 700);
+}
