Return the memory of large frames between nodes

Cause: the buffers of a connection between nodes kept the capacity of their largest frame for each peer, uncounted. They grew to twice a frame's size, and frames were encoded apart first. Change: a buffer that a large frame has left keeps 64 KiB at most, is sized for the frame it receives, and frames are encoded into it. fulmarledge_hop_buffer_bytes counts the memory.

--- a/src/adapters/hop.h
+++ b/src/adapters/hop.h
@@ -34,6 +34,7 @@
     std::size_t maxAccepted = 4096; ///< connections that one HopServer accepts; further ones are closed at once
     double answerBytesPerMs = 0; ///< rate of the large answers of one HopServer; 0: not paced
     std::shared_ptr<MemoryBudget> answerMemory = std::make_shared<MemoryBudget>(); ///< counts unwritten large answers
+    std::shared_ptr<MemoryBudget> bufferMemory = std::make_shared<MemoryBudget>(); ///< counts the connections' buffers
     std::shared_ptr<LinkGauge> gauge = std::make_shared<LinkGauge>(); ///< shared by all HopServers of the node
 };
 
@@ -136,6 +137,8 @@
     /// Writes small frames, unless a large one is in progress.
     void flush();
     void onHeartbeatTimer();
+    /// Returns the memory that a large frame has left in the buffers, and counts what they keep.
+    void trimBuffers();
     void setWriteInterest(bool wanted);
     /// Stops the connection and schedules `onClosed`.
     void fail();
@@ -156,6 +159,7 @@
     std::string m_in;
     std::string m_out; ///< small frames, or all of them without a scheduler
     std::size_t m_outWritten = 0; ///< bytes of `m_out` that were written
+    std::size_t m_countedBytes = 0; ///< this connection's part of HopConfig::bufferMemory
     LargeFrameScheduler *m_scheduler;
     std::deque<LargeFrame> m_largeFrames;
     std::size_t m_largeWritten = 0; ///< bytes of the first large frame that were written
--- a/src/adapters/hopconnection.cpp
+++ b/src/adapters/hopconnection.cpp
@@ -10,6 +10,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 #include "hop.h"
@@ -26,20 +27,36 @@
 /// Most bytes read from a connection in one turn of the event loop, so that it does not delay the other connections of
 /// the thread by much. Checked after each read of `kReadBufferBytes`.
 constexpr std::size_t kMaxReadBytesPerTurn = 1024 * 1024;
+/// Memory that an empty buffer keeps for the next frame. There are two buffers for each peer.
+constexpr std::size_t kKeptBufferBytes = 64 * 1024;
 /// Frames of at least this size are large. Smaller ones delay other frames by less than the burst of a paced link.
 constexpr std::size_t kLargeFrameBytes = 16 * 1024;
 
+/// Appends what is written to a string, without a copy of its own.
+class StringTransport : public apache::thrift::transport::TVirtualTransport<StringTransport>
+{
+public:
+    explicit StringTransport(std::string &out)
+        : m_out(out)
+    {
+    }
+    void write(const std::uint8_t *data, std::uint32_t size)
+    {
+        m_out.append(reinterpret_cast<const char *>(data), size);
+    }
+
+private:
+    std::string &m_out;
+};
+
 void appendFrame(std::string &out, const wire::HopFrame &frame)
 {
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocol protocol(buffer);
+    const std::size_t start = out.size();
+    out.append(kPrefixBytes, '\0');
+    TCompactProtocol protocol(std::make_shared<StringTransport>(out));
     frame.write(&protocol);
-    std::uint8_t *data = nullptr;
-    std::uint32_t size = 0;
-    buffer->getBuffer(&data, &size);
-    const std::uint32_t prefix = htonl(size);
-    out.append(reinterpret_cast<const char *>(&prefix), sizeof(prefix));
-    out.append(reinterpret_cast<const char *>(data), size);
+    const std::uint32_t prefix = htonl(static_cast<std::uint32_t>(out.size() - start - kPrefixBytes));
+    std::memcpy(out.data() + start, &prefix, sizeof(prefix));
 }
 
 bool decodeFrame(std::string_view bytes, wire::HopFrame &frame)
@@ -67,6 +84,13 @@
     return kPrefixBytes + ntohl(prefix);
 }
 
+void trim(std::string &buffer)
+{
+    if (buffer.capacity() > kKeptBufferBytes && buffer.size() <= kKeptBufferBytes / 2) {
+        buffer.shrink_to_fit();
+    }
+}
+
 } // namespace
 
 HopConnection::HopConnection(IoLoop &loop, int fd, bool connecting, const HopConfig &config, Handlers handlers,
@@ -89,6 +113,7 @@
     if (m_scheduler != nullptr) {
         m_scheduler->onWaitingBytesChanged(-static_cast<std::ptrdiff_t>(m_largeUnwritten));
     }
+    m_config.bufferMemory->release(m_countedBytes);
     *m_alive = false;
     m_loop.cancel(m_heartbeatTimer);
     m_loop.cancel(m_failTimer);
@@ -106,6 +131,7 @@
     const std::size_t frameBytes = m_out.size() - oldSize;
     if (frameBytes > m_config.maxFrameBytes || unwrittenBytes() > m_config.maxOutstandingBytes) {
         m_out.resize(oldSize);
+        trimBuffers();
         return 0;
     }
     m_queuedBytes += frameBytes;
@@ -114,6 +140,7 @@
         m_largeUnwritten += frameBytes;
         m_scheduler->onWaitingBytesChanged(static_cast<std::ptrdiff_t>(frameBytes));
         m_out.resize(oldSize);
+        trimBuffers();
         m_scheduler->onLargeFrameReady(*this);
     } else {
         flush();
@@ -155,6 +182,7 @@
         m_out.clear();
         m_outWritten = 0;
     }
+    trimBuffers();
     setWriteInterest(m_outWritten < m_out.size());
 }
 
@@ -287,6 +315,10 @@
             return false;
         }
         if (size == 0 || rest.size() < size) {
+            if (size > kKeptBufferBytes) {
+                // A string that grows by itself would take up to twice the memory of the frame.
+                m_in.reserve(start + size);
+            }
             break;
         }
         wire::HopFrame frame;
@@ -302,9 +334,23 @@
         }
     }
     m_in.erase(0, start);
+    trimBuffers();
     return true;
 }
 
+void HopConnection::trimBuffers()
+{
+    if (frameSize(m_in) <= kKeptBufferBytes) {
+        trim(m_in);
+    }
+    trim(m_out);
+    const std::size_t bytes = m_in.capacity() + m_out.capacity();
+    if (bytes != m_countedBytes) {
+        m_config.bufferMemory->add(bytes);
+        m_config.bufferMemory->release(std::exchange(m_countedBytes, bytes));
+    }
+}
+
 void HopConnection::onHeartbeatTimer()
 {
     // One period is counted also when the timer is late. This process may have been paused, and input that arrived
--- a/src/adapters/requestpath.cpp
+++ b/src/adapters/requestpath.cpp
@@ -276,6 +276,7 @@
     stats.refused = state.refused.load(std::memory_order_relaxed);
     stats.refusedConnections = state.backend.refusedConnections();
     stats.answerBytes = state.answerMemory->used();
+    stats.hopBufferBytes = state.settings.hopConfig.bufferMemory->used();
     stats.lateAnswers = state.counters.lateAnswers.load(std::memory_order_relaxed);
     for (std::size_t i = 0; i < stats.quotaReturned.size(); ++i) {
         stats.quotaReturned[i] = state.quotaReturned[i].load(std::memory_order_relaxed);
--- a/src/adapters/requestpath.h
+++ b/src/adapters/requestpath.h
@@ -60,6 +60,7 @@
     std::uint64_t lateAnswers = 0; ///< answers of attempts that were already over
     HttpServerStats callerConnections; ///< connections of callers
     std::uint64_t hopConnections = 0; ///< connections accepted from other nodes
+    std::uint64_t hopBufferBytes = 0; ///< buffers of all connections to and from other nodes
     TimeMs lastTurnMs = 0; ///< when the thread that has been busy longest last finished its events
     /// While draining: answers to callers and bytes of answers to other nodes that are not handed to the kernel yet.
     std::uint64_t unsent = 0;
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -291,6 +291,7 @@
                             static_cast<double>(m_settings.requests.callerMemory.limitBytes));
             m_metrics.gauge("caller-memory-refused", "", static_cast<double>(stats.callerConnections.refusedForMemory));
         }
+        m_metrics.gauge("hop-buffer-bytes", "", static_cast<double>(stats.hopBufferBytes));
         m_metrics.gauge("answer-bytes", "", static_cast<double>(stats.answerBytes));
         exportQuotas(m_control, stats, m_metrics);
         m_metrics.gauge("descriptor-budget", "", static_cast<double>(m_settings.socketDescriptors));
--- a/tests/adapter_hop.cpp
+++ b/tests/adapter_hop.cpp
@@ -591,3 +591,42 @@
     peer.join();
     server.closeAll();
 }
+
+// Guards against review case 7, buffers that keep the size of the largest request and answer for each peer.
+TEST_CASE("the memory of a large request or answer is returned when it has been sent or delivered")
+{
+    constexpr std::size_t kKeptBytes = 256 * 1024; // of both ends of the connection
+    const std::size_t requestBytes = GENERATE(std::size_t{10}, std::size_t{8} << 20);
+    const std::size_t answerBytes = GENERATE(std::size_t{10}, std::size_t{8} << 20);
+    const double answerBytesPerMs = GENERATE(0.0, 100000.0);
+    CAPTURE(requestBytes, answerBytes, answerBytesPerMs);
+    HopConfig config = fastConfig();
+    config.answerBytesPerMs = answerBytesPerMs;
+    {
+        IoLoop loop;
+        std::unique_ptr<HopServer> server;
+        server = std::make_unique<HopServer>(
+            loop, config,
+            HopServer::Handlers{[&](HopCallId call, wire::HopRequest &&request) {
+                                    CHECK(request.body.size() == requestBytes);
+                                    server->reply(call, hopAnswer(std::string(answerBytes, 'a')));
+                                },
+                                [](HopCallId) {}});
+        const HopListener listener(loop, {"127.0.0.1", kPort}, [&](int fd) { server->accept(fd); });
+        HopClient client(loop, config);
+        std::atomic<int> answered{0};
+        const auto call = [&] {
+            client.send({"127.0.0.1", kPort}, hopRequest(std::string(requestBytes, 'r')), [&](HopOutcome outcome) {
+                CHECK(outcome.response.body.size() == answerBytes);
+                ++answered;
+            });
+        };
+        call();
+        runUntil(loop, [&] { return answered.load() == 1; });
+        CHECK(config.bufferMemory->used() <= kKeptBytes);
+        call();
+        runUntil(loop, [&] { return answered.load() == 2; });
+        CHECK(config.bufferMemory->used() <= kKeptBytes);
+    }
+    CHECK(config.bufferMemory->used() == 0);
+}
