Keep as many manifests as their memory allows

Cause: the last 16 manifests were kept whatever their size, and one that is read from the store shares nothing with the one before it. Change: HeldManifests keeps as many as fit an eighth of node.memory, and the newest two. With the bound left out, 6 of 25 checks of the new test fail.

--- a/include/fulmarledge/manifest.h
+++ b/include/fulmarledge/manifest.h
@@ -138,6 +138,9 @@
     /// @param digest digest of the canonical text
     std::string shownDigest(const std::string &digest) const;
 
+    /// Approximate memory of this manifest. What it shares with others is counted in each.
+    std::size_t memoryBytes() const;
+
     /// Returns the changes that turn this manifest into `target`.
     wire::ManifestDelta deltaTo(const Manifest &target) const;
 
--- a/include/fulmarledge/spread.h
+++ b/include/fulmarledge/spread.h
@@ -62,6 +62,8 @@
     TimeMs quietMs = 2000; ///< a node that has received no message for this long reads the platform itself
     int maxFullAnswers = 4; ///< largest number of full manifests sent in `fullAnswerWindowMs`
     TimeMs fullAnswerWindowMs = 500;
+    /// Approximate memory of the manifests that are kept as bases of deltas, beside the newest two. 0 means no limit.
+    std::size_t keptManifestBytes = 0;
 };
 
 /// Sets the periods of `settings` that follow from the time in which an accepted version must be in force.
--- a/src/core/heldmanifests.cpp
+++ b/src/core/heldmanifests.cpp
@@ -11,6 +11,8 @@
 /// Only guards against damaged messages. A manifest from the platform or a peer passed the size check when it was
 /// accepted.
 constexpr std::size_t kMaxTextBytes = FULMARLEDGE_CONFIG_MAX_FRAME_BYTES;
+/// The newest one is in use, and the one before it is the base of what is pushed.
+constexpr std::size_t kMinHeld = 2;
 
 std::size_t deltaSize(const wire::ManifestDelta &delta)
 {
@@ -40,6 +42,11 @@
     return "unknown";
 }
 
+HeldManifests::HeldManifests(std::size_t maxBytes)
+    : m_maxBytes(maxBytes)
+{
+}
+
 const HeldManifest *HeldManifests::find(Version version) const
 {
     const auto found
@@ -56,8 +63,12 @@
 
 void HeldManifests::add(HeldManifest manifest)
 {
+    manifest.memoryBytes = manifest.manifest->memoryBytes();
+    m_heldBytes += manifest.memoryBytes;
     m_held.push_back(std::move(manifest));
-    if (m_held.size() > FULMARLEDGE_CONFIG_KEPT_MANIFESTS) {
+    while (m_held.size() > FULMARLEDGE_CONFIG_KEPT_MANIFESTS
+           || (m_maxBytes > 0 && m_heldBytes > m_maxBytes && m_held.size() > kMinHeld)) {
+        m_heldBytes -= m_held.front().memoryBytes;
         m_held.pop_front();
     }
     m_newestText.clear();
--- a/src/core/heldmanifests_p.h
+++ b/src/core/heldmanifests_p.h
@@ -17,6 +17,7 @@
     std::string digest;
     std::shared_ptr<const Manifest> manifest;
     std::int64_t acceptedMs = 0; ///< milliseconds since 1970 by the submitter's clock, 0 when not known
+    std::size_t memoryBytes = 0; ///< set by HeldManifests
 };
 
 /// Why a manifest could not be built from the content of a message.
@@ -39,6 +40,9 @@
 class HeldManifests
 {
 public:
+    /// @param maxBytes approximate memory of all that are held, as far as there are more than two; 0: no limit
+    explicit HeldManifests(std::size_t maxBytes = 0);
+
     Version newestVersion() const
     {
         return m_held.empty() ? 0 : m_held.back().version;
@@ -51,7 +55,7 @@
     const HeldManifest *find(Version version) const;
     const HeldManifest *findByDigest(std::string_view digest) const;
 
-    /// Adds `manifest`, whose version must be above the newest one. Drops the oldest beyond the bound.
+    /// Adds `manifest`, whose version must be above the newest one. Drops the oldest beyond the bounds.
     void add(HeldManifest manifest);
 
     /// Builds and checks the manifest that a message carries in full or as a delta, without adding it.
@@ -65,7 +69,9 @@
 private:
     static std::optional<HeldManifest> checkDigest(const wire::Content &content, Manifest manifest, BuildError &error);
 
+    const std::size_t m_maxBytes;
     std::deque<HeldManifest> m_held;
+    std::size_t m_heldBytes = 0; ///< approximate memory of `m_held`
     std::string m_newestText; ///< canonical text of the newest, empty until needed
     std::optional<wire::Content> m_cachedContent; ///< last result of contentFor()
     Version m_cachedBase = 0;
--- a/src/core/manifest.cpp
+++ b/src/core/manifest.cpp
@@ -144,6 +144,34 @@
     return textWithOrganisations(organisations);
 }
 
+std::size_t Manifest::memoryBytes() const
+{
+    // A node of a map holds three links, a colour and the heap's own header beside its entry.
+    constexpr std::size_t kNodeBytes = 48 + sizeof(std::string);
+    std::size_t bytes = sizeof(Manifest);
+    for (const auto &[key, route] : m_routes) {
+        bytes += kNodeBytes + sizeof(RouteSpec) + 2 * key.size();
+        for (const RouteTarget &target : route.targets) {
+            bytes += sizeof(RouteTarget) + target.service.size();
+        }
+    }
+    for (const auto &[key, text] : m_routeTexts) {
+        bytes += kNodeBytes + sizeof(std::string) + sizeof(text) + key.size() + text->size();
+    }
+    for (const auto &[name, service] : m_services) {
+        bytes += kNodeBytes + sizeof(ServiceSpec) + 2 * name.size();
+        for (const auto *names : {&service.backendServers, &service.idempotentMethods}) {
+            for (const std::string &text : *names) {
+                bytes += kNodeBytes + text.size();
+            }
+        }
+    }
+    for (const auto &[name, entry] : m_organisations) {
+        bytes += 2 * kNodeBytes + sizeof(OrganisationEntry) + 2 * name.size() + 2 * entry->text.size();
+    }
+    return bytes;
+}
+
 std::string Manifest::shownDigest(const std::string &digest) const
 {
     std::string organisations;
--- a/src/core/spread.cpp
+++ b/src/core/spread.cpp
@@ -45,6 +45,7 @@
     , m_metrics(metrics)
     , m_log(log)
     , m_listener(listener)
+    , m_held(m_settings.keptManifestBytes)
     , m_reader(m_settings, platform, random, metrics, log, *this)
     , m_pullPlan(m_settings, random)
     , m_fullAnswerLimiter(m_settings)
--- a/src/programs/node_settings.cpp
+++ b/src/programs/node_settings.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kAnswerMemoryDivisor = 8;
 /// Part of the memory for all answers that are not finished. A string that grows takes up to twice its size.
 constexpr std::size_t kAnswersMemoryDivisor = 5;
+/// Part of the memory for manifests that are kept as bases of deltas.
+constexpr std::size_t kManifestsMemoryDivisor = 8;
 /// Room for the fields of a request in a message to another node, besides its body.
 constexpr std::size_t kFrameHeaderBytes = std::size_t{128} * 1024;
 /// Time before the end of the grace time at which a busy node answers the callers' requests in progress.
@@ -265,6 +267,7 @@
         requests.hopConfig.maxOutstandingBytes = std::min(requests.hopConfig.maxOutstandingBytes, bodies);
         requests.maxAnswerBytes = std::min(requests.maxAnswerBytes, settings.memoryBytes / kAnswerMemoryDivisor);
         requests.maxAnswersBytes = std::min(requests.maxAnswersBytes, settings.memoryBytes / kAnswersMemoryDivisor);
+        settings.control.spread.keptManifestBytes = settings.memoryBytes / kManifestsMemoryDivisor;
     }
     settings.socketDescriptors = countSocketDescriptors(static_cast<std::size_t>(settings.maxDescriptors));
     const DescriptorShares shares = shareDescriptors(settings.socketDescriptors);
@@ -323,6 +326,7 @@
         + line("connections from other nodes, a data thread",
                static_cast<std::int64_t>(settings.requests.hopConfig.maxAccepted), "",
                settings.maxDescriptors > 0 ? "node.max_descriptors" : "the kernel's limit")
+        + line("manifests kept as bases of deltas", static_cast<std::int64_t>(spread.keptManifestBytes), "B", memory)
         + line("requests.max_answer", static_cast<std::int64_t>(settings.requests.maxAnswerBytes), "B", memory)
         + line("bodies of unfinished answers", static_cast<std::int64_t>(settings.requests.maxAnswersBytes), "B",
                memory)
--- a/tests/core_requests_allocations.cpp
+++ b/tests/core_requests_allocations.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <malloc.h>
 #include <new>
 
 #include "allocationcount.h"
@@ -14,16 +15,20 @@
 namespace {
 
 thread_local std::size_t allocationCount = 0;
+thread_local std::ptrdiff_t heldBytes = 0;
 
 // Not inlined, because the compiler would then warn about `free` on memory from `operator new`.
 [[gnu::noinline]] void *allocate(std::size_t size) noexcept
 {
     ++allocationCount;
-    return std::malloc(size > 0 ? size : 1);
+    void *memory = std::malloc(size > 0 ? size : 1);
+    heldBytes += static_cast<std::ptrdiff_t>(::malloc_usable_size(memory));
+    return memory;
 }
 
 [[gnu::noinline]] void release(void *memory) noexcept
 {
+    heldBytes -= static_cast<std::ptrdiff_t>(::malloc_usable_size(memory));
     std::free(memory);
 }
 
@@ -77,6 +82,11 @@
     release(memory);
 }
 
+std::ptrdiff_t heldBytesOfThisThread()
+{
+    return heldBytes;
+}
+
 std::size_t allocationsOfThisThread()
 {
     return allocationCount;
--- a/tests/core_spread_bounds.cpp
+++ b/tests/core_spread_bounds.cpp
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "allocationcount.h"
 #include "heldmanifests_p.h"
 #include "pushtree_p.h"
 #include "spreadchecks.h"
@@ -88,6 +90,40 @@
     CHECK(held.contentFor(99).__isset.full);
 }
 
+// Guards against review case 6, manifests that are kept whatever their size.
+TEST_CASE("as many manifests are kept as their memory allows, and at least two")
+{
+    constexpr int kServices = 300;
+    const auto newest
+        = [](Version version) { return heldManifest(version, manifestText(kServices, 2, static_cast<int>(version))); };
+    const std::size_t oneBytes = newest(1).manifest->memoryBytes();
+    const int allowed = GENERATE(1, 2, 5, 16, 30);
+    HeldManifests held(static_cast<std::size_t>(allowed) * oneBytes + oneBytes / 2);
+    for (Version version = 1; version <= 30; ++version) {
+        held.add(newest(version));
+    }
+    const Version kept = std::clamp(allowed, 2, FULMARLEDGE_CONFIG_KEPT_MANIFESTS);
+    CHECK(held.find(30 - kept) == nullptr);
+    CHECK(held.find(30 - kept + 1) != nullptr);
+    CHECK(held.contentForPush().__isset.delta);
+    CHECK(held.contentFor(30 - kept).__isset.full);
+    CHECK(held.contentFor(30 - kept + 1).__isset.delta);
+}
+
+// Guards against an estimate that lets kept manifests take several times the memory that is set aside for them.
+TEST_CASE("the memory of a manifest is estimated within a third")
+{
+    const std::string text = manifestText(3000, 2, 1);
+    LastReason error;
+    const std::ptrdiff_t before = heldBytesOfThisThread();
+    const auto manifest = Manifest::parse(text, error);
+    REQUIRE(manifest);
+    const auto used = static_cast<std::size_t>(heldBytesOfThisThread() - before);
+    CAPTURE(used, manifest->memoryBytes());
+    CHECK(manifest->memoryBytes() > used * 2 / 3);
+    CHECK(manifest->memoryBytes() < used * 4 / 3);
+}
+
 // Guards against platform reads and writes per change that grow with the fleet.
 TEST_CASE("platform calls per change do not depend on the size of the fleet")
 {
