--- a/include/fulmarledge/backendlifecycle.h
+++ b/include/fulmarledge/backendlifecycle.h
@@ -32,9 +32,9 @@
 
 /// How long announcements from before a leave may still arrive, with room for clocks that differ.
 constexpr TimeMs kLeaveBindingMs = 60000;
-/// How far the clocks of a node and of the backend server beside it may differ, so that a leave that states no start
-/// binds its own process and not the next one with the same id. That one starts later by this time at least, because
-/// the process that leaves goes on serving for longer.
+/// How far the clocks of a node and of the backend server beside it may differ. A leave that states no start then still
+/// binds its own process, and not the next one with the same id: a process that leaves serves for twice as long, and
+/// the next one starts after that.
 constexpr std::int64_t kLeaveClockErrorMs = 1000;
 
 enum class AnnouncementEffect : std::uint8_t {
@@ -77,6 +77,7 @@
     }
 
 private:
+    /// Processes that are not taken again.
     struct RetiredProcess {
         LeavingBackend process;
         TimeMs retiredAt = 0;
--- a/include/fulmarledge/leavememory.h
+++ b/include/fulmarledge/leavememory.h
@@ -72,9 +72,9 @@
     void onRead(const StoreReply &reply);
     /// Takes over what an earlier process of this node has stored.
     void merge(std::string_view text);
-    /// Whether the leaves in `m_leaves` cover this one.
+    /// Whether a known leave of the same id binds at least as much.
     bool covers(const LeavingBackend &leaving) const;
-    /// Adds a leave, in place of one that it covers, and drops those that no longer bind.
+    /// Adds a leave, in place of an earlier one of its id, and drops those that no longer bind.
     void add(const Leave &leave, std::int64_t wallClockMs);
     void write();
     void onWritten(const StoreReply &reply);
@@ -97,7 +97,7 @@
     bool m_isWriting = false;
     bool m_isWritten = true; ///< the store holds all of `m_leaves`
     bool m_changedSinceWrite = false; ///< `m_leaves` has changed since the write in progress began
-    std::vector<LeavingBackend> m_stored;
+    std::vector<LeavingBackend> m_stored; ///< found by the first read
     std::vector<Leave> m_leaves; ///< content of the stored object, newest last
     std::int64_t m_objectVersion = 0; ///< of the stored object, 0 if there is none or it is not known
     TimeMs m_writeAt = 0; ///< when a failed write is repeated
--- a/src/adapters/hopconnection.cpp
+++ b/src/adapters/hopconnection.cpp
@@ -32,7 +32,7 @@
 /// Frames of at least this size are large. Smaller ones delay other frames by less than the burst of a paced link.
 constexpr std::size_t kLargeFrameBytes = 16 * 1024;
 
-/// Appends what is written to a string, without a copy of its own.
+/// Appends to a string.
 class StringTransport : public apache::thrift::transport::TVirtualTransport<StringTransport>
 {
 public:
--- a/src/core/leavememory.cpp
+++ b/src/core/leavememory.cpp
@@ -226,6 +226,7 @@
             add(leave, wallClockMs);
         }
     }
+    // A write in progress does not hold what was added.
     m_changedSinceWrite = true;
 }
 
--- a/thrift/fulmarledge.thrift
+++ b/thrift/fulmarledge.thrift
@@ -23,7 +23,8 @@
   13: optional i32 warmupMs
   // Rate of the host's link in Mbit/s, rounded down. Not set if unknown.
   14: optional i32 linkMegabits
-  // Process of the backend server that has announced that it is leaving, and its start in milliseconds since 1970.
+  // Id of the processes of the backend server that have announced that they are leaving, and their latest start in
+  // milliseconds since 1970.
   // Not set while none is leaving.
   15: optional string leavingInstance
   16: optional i64 leavingBornMs
