Reserve large frames as a whole, and return large blocks to the system

The buffer doubled when the fields behind a body were added, and the allocator raised its threshold for returning blocks with each larger one. Change: room for a large frame is reserved; M_MMAP_THRESHOLD is fixed at 1 MiB. Evidence: the new test found 16.8 MB for a frame of 8.4 MB before.

--- a/src/adapters/hopconnection.cpp
+++ b/src/adapters/hopconnection.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t kMaxReadBytesPerTurn = 1024 * 1024;
 /// Memory that an empty buffer keeps for the next frame. There are two buffers for each peer.
 constexpr std::size_t kKeptBufferBytes = 64 * 1024;
+/// Room for what a frame holds beside a body.
+constexpr std::size_t kFieldBytes = 16 * 1024;
 /// Frames of at least this size are large. Smaller ones delay other frames by less than the burst of a paced link.
 constexpr std::size_t kLargeFrameBytes = 16 * 1024;
 
@@ -52,6 +54,11 @@
 void appendFrame(std::string &out, const wire::HopFrame &frame)
 {
     const std::size_t start = out.size();
+    const std::size_t bodyBytes = frame.request.body.size() + frame.response.body.size();
+    if (bodyBytes > kKeptBufferBytes) {
+        // The small fields behind a large body would double the memory of a string that grows by itself.
+        out.reserve(start + bodyBytes + kFieldBytes);
+    }
     out.append(kPrefixBytes, '\0');
     TCompactProtocol protocol(std::make_shared<StringTransport>(out));
     frame.write(&protocol);
@@ -143,6 +150,7 @@
         trimBuffers();
         m_scheduler->onLargeFrameReady(*this);
     } else {
+        trimBuffers();
         flush();
     }
     return m_queuedBytes;
--- a/src/programs/node_main.cpp
+++ b/src/programs/node_main.cpp
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <malloc.h>
 #include <random>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
@@ -31,6 +32,9 @@
 /// Time without a tick after which callers are refused. A pause of this length makes the control core read the version
 /// floor again.
 constexpr TimeMs kReadyLeaseMs = 2000;
+/// Blocks of memory from this size on are returned to the system when they are freed. Otherwise the allocator raises
+/// the size with each larger block, and keeps up to twice the largest body.
+constexpr int kReturnedBlockBytes = 1024 * 1024;
 constexpr std::size_t kMaxActivations = 256;
 constexpr std::size_t kMaxAdminBodyBytes = 64 * 1024;
 constexpr TimeMs kAdminHeaderTimeoutMs = 5000;
@@ -483,6 +487,7 @@
     case SettingsSchema::Outcome::Run:
         break;
     }
+    ::mallopt(M_MMAP_THRESHOLD, kReturnedBlockBytes);
     blockSignals();
     startLogging(settings.inForce().logLevel);
     try {
--- a/tests/adapter_hop.cpp
+++ b/tests/adapter_hop.cpp
@@ -630,3 +630,18 @@
     }
     CHECK(config.bufferMemory->used() == 0);
 }
+
+// Guards against a buffer that grows to twice the size of a large frame because small fields follow its body.
+TEST_CASE("a large frame that waits takes its own size and little more")
+{
+    constexpr std::size_t kBodyBytes = 8 * 1024 * 1024;
+    const HopConfig config = fastConfig();
+    const RawListener listener(kPort);
+    IoLoop loop;
+    HopClient client(loop, config);
+    wire::HopRequest request = hopRequest(std::string(kBodyBytes, 'r'));
+    request.fields.resize(20);
+    client.send({"127.0.0.1", kPort}, std::move(request), [](HopOutcome) {});
+    CHECK(config.bufferMemory->used() >= kBodyBytes);
+    CHECK(config.bufferMemory->used() <= kBodyBytes + 256 * 1024);
+}
