--- a/tests/adapter_pipelining.cpp
+++ b/tests/adapter_pipelining.cpp
@@ -185,6 +185,7 @@
     for (int i = 2; i < 300; ++i) {
         REQUIRE(client.send(get("/safe" + std::to_string(i))));
     }
+    REQUIRE(eventually([&] { return heldBack(server, HoldReason::Closing) == 1; }));
     rest();
     CHECK(held.started() == 2);
     CHECK(heldBack(server, HoldReason::Closing) == 1);
