--- a/src/programs/node_backend.h
+++ b/src/programs/node_backend.h
@@ -50,7 +50,7 @@
     /// @return the processes that leave, to be stored before the notice is acknowledged; none if it is outdated
     std::optional<LeavingBackend> applyLeave(BackendAnnouncement notice);
     void retire(const LeavingBackend &leaving, TimeMs now);
-    /// Whether the backend server in service, or the last one, is among these.
+    /// Whether the newest of these is the backend server in service, or the last one that was.
     bool isCurrent(const LeavingBackend &leaving) const;
     /// Applies the held notices once it is known, from the store or other members, which process has left.
     void applyHeldNotices();
