--- a/src/adapters/httpserver.h
+++ b/src/adapters/httpserver.h
@@ -124,8 +124,8 @@
 
     /// Sets the limits of open and new connections. Sizes apply from the next request of a connection on. Thread-safe.
     void setLimits(const HttpLimits &limits);
-    /// From now on, closes each connection when its requests in progress are answered. The last response says so. Behind
-    /// requests in progress no further one is started. Thread-safe.
+    /// From now on, closes each connection when its requests in progress are answered. The last response says so.
+    /// Behind requests in progress no further one is started. Thread-safe.
     void closeAfterResponses();
     /// Responses that were given to `HttpResponder::send` and are not completely handed to the kernel. Must not be
     /// called after `stop`.
