--- /dev/null
+++ b/review/standins-3/leave_unstored.cpp
@@ -0,0 +1,113 @@
+// An endpoint leaves while the store is down. The leave is acknowledged, then all nodes are killed and start again. A
+// heartbeat of before the leave arrives late.
+#include "world.h"
+
+namespace {
+
+constexpr std::int64_t kDrainMs = 2000;
+constexpr std::int64_t kServeAfterLeaveMs = 12000;
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    World world(argc, argv);
+    Store store({world.ip(250), 8627});
+    store.put("config", "main", configuration(7, {{"sheets.example", "/sheets/", "safe", "jobsheets"}}, {"jobsheets"}));
+    Node a(world.nodeSettings("side-a", "ikeja", 1, "jobsheets"));
+    Node b(world.nodeSettings("side-b", "apapa", 2, "jobsheets"));
+    const std::vector<Node *> nodes{&a, &b};
+    for (Node *node : nodes) {
+        node->start();
+    }
+    Endpoint leaving(world.record, "i-leaving", "jobsheets", "ikeja", {world.ip(1), 8628}, a.control);
+    Endpoint staying(world.record, "i-staying", "jobsheets", "apapa", {world.ip(2), 8628}, b.control);
+    leaving.startHeartbeats();
+    staying.startHeartbeats();
+    const auto end = [&](int code, const std::string &text) {
+        for (Node *node : nodes) {
+            node->kill(SIGKILL);
+        }
+        finish(world, code, text);
+    };
+    if (!world.waitReady(nodes)) {
+        end(2, "the nodes did not become ready");
+    }
+    std::atomic<bool> stop{false};
+    std::vector<std::thread> clients;
+    for (Node *node : nodes) {
+        clients.emplace_back([&world, &stop, node] {
+            while (!stop) {
+                const std::string id = world.newId();
+                const Answer answer = call(node->outbound, "GET", "/sheets/1",
+                                           {{"Host", "sheets.example"},
+                                            {"X-Fulmarledge-Request-Id", id},
+                                            {"X-Fulmarledge-Deadline-Ms", "2000"}},
+                                           "", 2500);
+                world.record.line("client at " + node->settings.name + " sent " + id + ", answer "
+                                  + std::to_string(answer.status));
+                sleepMs(50);
+            }
+        });
+    }
+    sleepMs(6000);
+    if (leaving.runs().empty() || staying.runs().empty()) {
+        end(2, "an endpoint got no request before the leave");
+    }
+    leaving.stopHeartbeats();
+    sleepMs(1600);
+    if (world.trouble) {
+        store.setMode(Store::Mode::Silent);
+        world.record.line("the store is down (silent)");
+        sleepMs(500);
+    }
+    // The last heartbeat before the leave is on its way for some seconds.
+    const json delayed = leaving.heartbeat("ready");
+    const std::int64_t delayedAt = nowMs();
+    sleepMs(500);
+    // The endpoint never reports draining: it sends DELETE first, and serves on.
+    const Answer leave
+        = call(a.control, "DELETE", "/api/instances/" + leaving.id, {{"Host", a.control.text()}}, "", 1000);
+    const std::int64_t acknowledgedAt = nowMs();
+    world.record.line("endpoint i-leaving sent DELETE, acknowledged with " + std::to_string(leave.status) + " after "
+                      + std::to_string(leave.ms) + " ms");
+    if (leave.status != 200) {
+        end(2, "the leave was not acknowledged");
+    }
+    if (world.trouble) {
+        sleepMs(300);
+        world.record.line("all nodes are killed, the store is up again");
+        for (Node *node : nodes) {
+            node->kill(SIGKILL);
+        }
+        store.setMode(Store::Mode::Up);
+        sleepMs(200);
+        for (Node *node : nodes) {
+            node->start();
+        }
+    }
+    sleepMs(std::max<std::int64_t>(delayedAt + 4000 - nowMs(), 0));
+    const Answer late = leaving.sendHeartbeat(delayed);
+    world.record.line("the delayed heartbeat arrives after " + std::to_string(nowMs() - delayedAt) + " ms: "
+                      + delayed.dump() + ", answer " + std::to_string(late.status));
+    sleepMs(kServeAfterLeaveMs - (nowMs() - acknowledgedAt));
+    stop = true;
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    // Nodes that were killed are in touch 3 s after they run again and the store is up.
+    const std::int64_t from = acknowledgedAt + (world.trouble ? 300 + 200 + 500 + 3000 : kDrainMs);
+    std::size_t count = 0;
+    std::int64_t last = 0;
+    for (const Endpoint::Run &run : leaving.runs()) {
+        if (run.at > from) {
+            ++count;
+            last = run.at - acknowledgedAt;
+        }
+    }
+    world.record.line("store: " + store.dump());
+    end(count > 0 ? 1 : 0,
+        "DRAIN: " + std::to_string(count) + " requests reached the endpoint later than "
+            + std::to_string(from - acknowledgedAt) + " ms after its leave was acknowledged, the last after "
+            + std::to_string(last) + " ms");
+}
