--- /dev/null
+++ b/review/standins-3/leave_reborn.cpp
@@ -0,0 +1,103 @@
+// An endpoint starts again under its id and leaves soon. Its first heartbeat arrives after the leave.
+#include "world.h"
+
+namespace {
+
+constexpr std::int64_t kDrainMs = 2000;
+constexpr std::int64_t kServeAfterLeaveMs = 6000;
+constexpr std::int64_t kLateMs = 2500;
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    World world(argc, argv);
+    Store store({world.ip(250), 8627});
+    store.put("config", "main", configuration(7, {{"sheets.example", "/sheets/", "safe", "jobsheets"}}, {"jobsheets"}));
+    Node a(world.nodeSettings("side-a", "ikeja", 1, "jobsheets"));
+    Node b(world.nodeSettings("side-b", "apapa", 2, "jobsheets"));
+    const std::vector<Node *> nodes{&a, &b};
+    for (Node *node : nodes) {
+        node->start();
+    }
+    Endpoint leaving(world.record, "i-leaving", "jobsheets", "ikeja", {world.ip(1), 8628}, a.control);
+    Endpoint staying(world.record, "i-staying", "jobsheets", "apapa", {world.ip(2), 8628}, b.control);
+    leaving.startHeartbeats();
+    staying.startHeartbeats();
+    const auto end = [&](int code, const std::string &text) {
+        for (Node *node : nodes) {
+            node->kill(SIGKILL);
+        }
+        finish(world, code, text);
+    };
+    if (!world.waitReady(nodes)) {
+        end(2, "the nodes did not become ready");
+    }
+    std::atomic<bool> stop{false};
+    std::vector<std::thread> clients;
+    for (Node *node : nodes) {
+        clients.emplace_back([&world, &stop, node] {
+            while (!stop) {
+                const std::string id = world.newId();
+                const Answer answer = call(node->outbound, "GET", "/sheets/1",
+                                           {{"Host", "sheets.example"},
+                                            {"X-Fulmarledge-Request-Id", id},
+                                            {"X-Fulmarledge-Deadline-Ms", "2000"}},
+                                           "", 2500);
+                world.record.line("client at " + node->settings.name + " sent " + id + ", answer "
+                                  + std::to_string(answer.status));
+                sleepMs(50);
+            }
+        });
+    }
+    sleepMs(6000);
+    const std::size_t before = leaving.runs().size();
+    if (before == 0 || staying.runs().empty()) {
+        end(2, "an endpoint got no request before the leave");
+    }
+    // The process ends, and another one starts under the same id and address.
+    leaving.stopHeartbeats();
+    sleepMs(1600);
+    leaving.close();
+    sleepMs(500);
+    Endpoint again(world.record, leaving.id, leaving.service, leaving.zone, leaving.address, leaving.control);
+    world.record.line("endpoint i-leaving started again, born " + std::to_string(again.born) + " after "
+                      + std::to_string(leaving.born));
+    const json first = again.heartbeat("ready");
+    const std::int64_t startedAt = nowMs();
+    if (!world.trouble) {
+        world.record.line("its first heartbeat: " + first.dump() + ", answer "
+                          + std::to_string(again.sendHeartbeat(first).status));
+    }
+    // It never reports draining: it sends DELETE before its second heartbeat is due, and serves on.
+    sleepMs(1200);
+    const Answer leave
+        = call(a.control, "DELETE", "/api/instances/" + again.id, {{"Host", a.control.text()}}, "", 1000);
+    const std::int64_t acknowledgedAt = nowMs();
+    world.record.line("endpoint i-leaving sent DELETE, acknowledged with " + std::to_string(leave.status));
+    if (leave.status != 200) {
+        end(2, "the leave was not acknowledged");
+    }
+    if (world.trouble) {
+        sleepMs(startedAt + kLateMs - nowMs());
+        const Answer answer = again.sendHeartbeat(first);
+        world.record.line("its first heartbeat arrives after " + std::to_string(nowMs() - startedAt) + " ms: "
+                          + first.dump() + ", answer " + std::to_string(answer.status));
+    }
+    sleepMs(kServeAfterLeaveMs - (nowMs() - acknowledgedAt));
+    stop = true;
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    std::size_t late = 0;
+    std::int64_t last = 0;
+    for (const Endpoint::Run &run : again.runs()) {
+        if (run.at > acknowledgedAt + kDrainMs) {
+            ++late;
+            last = run.at - acknowledgedAt;
+        }
+    }
+    end(late > 0 ? 1 : 0,
+        "DRAIN: " + std::to_string(late) + " requests reached the endpoint later than " + std::to_string(kDrainMs)
+            + " ms after its leave was acknowledged, the last after " + std::to_string(last) + " ms");
+}
