--- a/review/standins-3/leave_damaged.cpp
+++ b/review/standins-3/leave_damaged.cpp
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr std::int64_t kDrainMs = 2000;
+constexpr std::size_t kClientsPerNode = 4;
 constexpr std::int64_t kServeAfterLeaveMs = 6000;
 
 } // namespace
@@ -12,15 +13,15 @@
 {
     World world(argc, argv);
     Store store({world.ip(250), 8627});
-    store.put("config", "main", configuration(7, {{"sheets.example", "/sheets/", "safe", "jobsheets"}}, {"jobsheets"}));
-    Node a(world.nodeSettings("side-a", "ikeja", 1, "jobsheets"));
-    Node b(world.nodeSettings("side-b", "apapa", 2, "jobsheets"));
+    store.put("config", "main", configuration(7, {{"desk.example", "/visits/", "unsafe", "bookings"}}, {"bookings"}));
+    Node a(world.nodeSettings("side-a", "ikeja", 1, "bookings"));
+    Node b(world.nodeSettings("side-b", "apapa", 2, "bookings"));
     const std::vector<Node *> nodes{&a, &b};
     for (Node *node : nodes) {
         node->start();
     }
-    Endpoint leaving(world.record, "i-leaving", "jobsheets", "ikeja", {world.ip(1), 8628}, a.control);
-    Endpoint staying(world.record, "i-staying", "jobsheets", "apapa", {world.ip(2), 8628}, b.control);
+    Endpoint leaving(world.record, "i-leaving", "bookings", "ikeja", {world.ip(1), 8628}, a.control);
+    Endpoint staying(world.record, "i-staying", "bookings", "apapa", {world.ip(2), 8628}, b.control);
     leaving.startHeartbeats();
     staying.startHeartbeats();
     const auto end = [&](int code, const std::string &text) {
@@ -33,16 +34,22 @@
         end(2, "the nodes did not become ready");
     }
     std::atomic<bool> stop{false};
+    std::mutex mutex;
+    std::map<std::string, int> answers;
     std::vector<std::thread> clients;
-    for (Node *node : nodes) {
-        clients.emplace_back([&world, &stop, node] {
+    for (std::size_t i = 0; i < nodes.size() * kClientsPerNode; ++i) {
+        clients.emplace_back([&, node = nodes[i % nodes.size()]] {
             while (!stop) {
                 const std::string id = world.newId();
-                const Answer answer = call(node->outbound, "GET", "/sheets/1",
-                                           {{"Host", "sheets.example"},
+                const Answer answer = call(node->outbound, "POST", "/visits/1",
+                                           {{"Host", "desk.example"},
                                             {"X-Fulmarledge-Request-Id", id},
                                             {"X-Fulmarledge-Deadline-Ms", "2000"}},
-                                           "", 2500);
+                                           "visit", 2500);
+                {
+                    const std::lock_guard lock(mutex);
+                    answers[id] = answer.status;
+                }
                 world.record.line("client at " + node->settings.name + " sent " + id + ", answer "
                                   + std::to_string(answer.status));
                 sleepMs(50);
@@ -74,19 +81,26 @@
         world.record.line("another writer sent " + damaged.dump() + ", answer " + std::to_string(answer.status));
     }
     sleepMs(kServeAfterLeaveMs - (nowMs() - acknowledgedAt));
+    // It exits, as it has said.
+    leaving.close();
+    world.record.line("endpoint i-leaving exits");
+    sleepMs(300);
     stop = true;
     for (std::thread &client : clients) {
         client.join();
     }
     std::size_t late = 0;
+    std::size_t lost = 0;
     std::int64_t last = 0;
     for (const Endpoint::Run &run : leaving.runs()) {
         if (run.at > acknowledgedAt + kDrainMs) {
             ++late;
+            lost += answers[run.id] == 200 ? 0 : 1;
             last = run.at - acknowledgedAt;
         }
     }
     end(late > 0 ? 1 : 0,
         "DRAIN: " + std::to_string(late) + " requests reached the endpoint later than " + std::to_string(kDrainMs)
-            + " ms after its leave was acknowledged, the last after " + std::to_string(last) + " ms");
+            + " ms after its leave was acknowledged, the last after " + std::to_string(last) + " ms; "
+            + std::to_string(lost) + " of them were not answered with success");
 }
--- a/review/standins-3/leave_unstored.cpp
+++ b/review/standins-3/leave_unstored.cpp
@@ -5,7 +5,8 @@
 namespace {
 
 constexpr std::int64_t kDrainMs = 2000;
-constexpr std::int64_t kServeAfterLeaveMs = 12000;
+constexpr std::size_t kClientsPerNode = 4;
+constexpr std::int64_t kServeAfterLeaveMs = 8000;
 
 } // namespace
 
@@ -13,15 +14,15 @@
 {
     World world(argc, argv);
     Store store({world.ip(250), 8627});
-    store.put("config", "main", configuration(7, {{"sheets.example", "/sheets/", "safe", "jobsheets"}}, {"jobsheets"}));
-    Node a(world.nodeSettings("side-a", "ikeja", 1, "jobsheets"));
-    Node b(world.nodeSettings("side-b", "apapa", 2, "jobsheets"));
+    store.put("config", "main", configuration(7, {{"desk.example", "/visits/", "unsafe", "bookings"}}, {"bookings"}));
+    Node a(world.nodeSettings("side-a", "ikeja", 1, "bookings"));
+    Node b(world.nodeSettings("side-b", "apapa", 2, "bookings"));
     const std::vector<Node *> nodes{&a, &b};
     for (Node *node : nodes) {
         node->start();
     }
-    Endpoint leaving(world.record, "i-leaving", "jobsheets", "ikeja", {world.ip(1), 8628}, a.control);
-    Endpoint staying(world.record, "i-staying", "jobsheets", "apapa", {world.ip(2), 8628}, b.control);
+    Endpoint leaving(world.record, "i-leaving", "bookings", "ikeja", {world.ip(1), 8628}, a.control);
+    Endpoint staying(world.record, "i-staying", "bookings", "apapa", {world.ip(2), 8628}, b.control);
     leaving.startHeartbeats();
     staying.startHeartbeats();
     const auto end = [&](int code, const std::string &text) {
@@ -34,16 +35,22 @@
         end(2, "the nodes did not become ready");
     }
     std::atomic<bool> stop{false};
+    std::mutex mutex;
+    std::map<std::string, int> answers;
     std::vector<std::thread> clients;
-    for (Node *node : nodes) {
-        clients.emplace_back([&world, &stop, node] {
+    for (std::size_t i = 0; i < nodes.size() * kClientsPerNode; ++i) {
+        clients.emplace_back([&, node = nodes[i % nodes.size()]] {
             while (!stop) {
                 const std::string id = world.newId();
-                const Answer answer = call(node->outbound, "GET", "/sheets/1",
-                                           {{"Host", "sheets.example"},
+                const Answer answer = call(node->outbound, "POST", "/visits/1",
+                                           {{"Host", "desk.example"},
                                             {"X-Fulmarledge-Request-Id", id},
                                             {"X-Fulmarledge-Deadline-Ms", "2000"}},
-                                           "", 2500);
+                                           "visit", 2500);
+                {
+                    const std::lock_guard lock(mutex);
+                    answers[id] = answer.status;
+                }
                 world.record.line("client at " + node->settings.name + " sent " + id + ", answer "
                                   + std::to_string(answer.status));
                 sleepMs(50);
@@ -91,6 +98,10 @@
     world.record.line("the delayed heartbeat arrives after " + std::to_string(nowMs() - delayedAt) + " ms: "
                       + delayed.dump() + ", answer " + std::to_string(late.status));
     sleepMs(kServeAfterLeaveMs - (nowMs() - acknowledgedAt));
+    // It exits, as it has said.
+    leaving.close();
+    world.record.line("endpoint i-leaving exits");
+    sleepMs(300);
     stop = true;
     for (std::thread &client : clients) {
         client.join();
@@ -98,10 +109,12 @@
     // Nodes that were killed are in touch 3 s after they run again and the store is up.
     const std::int64_t from = acknowledgedAt + (world.trouble ? 300 + 200 + 500 + 3000 : kDrainMs);
     std::size_t count = 0;
+    std::size_t lost = 0;
     std::int64_t last = 0;
     for (const Endpoint::Run &run : leaving.runs()) {
         if (run.at > from) {
             ++count;
+            lost += answers[run.id] == 200 ? 0 : 1;
             last = run.at - acknowledgedAt;
         }
     }
@@ -109,5 +122,5 @@
     end(count > 0 ? 1 : 0,
         "DRAIN: " + std::to_string(count) + " requests reached the endpoint later than "
             + std::to_string(from - acknowledgedAt) + " ms after its leave was acknowledged, the last after "
-            + std::to_string(last) + " ms");
+            + std::to_string(last) + " ms; " + std::to_string(lost) + " of them were not answered with success");
 }
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -660,7 +660,7 @@
     const Address address;
     const Address control;
     const std::int64_t born;
-    std::atomic<int> workMs{20};
+    std::atomic<int> workMs{500};
     std::atomic<int> answerBytes{64};
     bool logsRuns = true;
 
